--- a/adapter/control/owner.go
+++ b/adapter/control/owner.go
@@ -50,6 +50,11 @@
 	return func(o *Owner[S]) { o.tick, o.ticked = interval, event }
 }
 
+// WithClock sets the clock that events are decided by.
+func WithClock[S any](clock func() time.Time) Option[S] {
+	return func(o *Owner[S]) { o.clock = clock }
+}
+
 // New starts the goroutine that owns a state. Close ends it.
 func New[S any](initial S, options ...Option[S]) *Owner[S] {
 	o := &Owner[S]{mailbox: make(chan Event[S], defaultMailbox), clock: time.Now, tick: time.Hour}
--- a/adapter/document/settings.go
+++ b/adapter/document/settings.go
@@ -68,12 +68,15 @@
 }
 
 // IP returns the instance's own address, nil where it listens on all.
-func (s EntrySettings) IP() net.IP {
-	address, err := netip.ParseAddrPort(s.Listen)
-	if err != nil || address.Addr().IsUnspecified() {
+func (s EntrySettings) IP() net.IP { return ipOf(s.Listen) }
+
+// ipOf returns the IP of an address, nil where it stands for all.
+func ipOf(address string) net.IP {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil || parsed.Addr().IsUnspecified() {
 		return nil
 	}
-	return address.Addr().AsSlice()
+	return parsed.Addr().AsSlice()
 }
 
 // Sources returns the URLs that configurations are read from.
--- /dev/null
+++ b/core/dispatch/choose.go
@@ -0,0 +1,159 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"hornbeamtray/core/eject"
+	"hornbeamtray/core/refusal"
+	"hornbeamtray/core/roster"
+	"hornbeamtray/core/routing"
+)
+
+const (
+	queueFactor  = 2               // a target gets at most this many times the requests that it works on at once
+	farPenalty   = 1               // requests by which a target of another failure domain counts as fuller
+	peerSilence  = 3 * time.Second // a peer's counts are dropped after this
+	coldWindow   = time.Second     // the bound on cold targets counts the requests of any such span
+	fewestShares = 8               // the bound on cold targets is divided by at least as many gateways
+	ejectDivisor = 2               // at most one target of a service in so many is ejected
+)
+
+// View is what the gateway knows of one target by its own requests.
+type View struct {
+	Own      int // Own counts own requests at the target now.
+	Attempts eject.Record
+	sends    []time.Time // within coldWindow; never written after construction
+}
+
+// peer is what another gateway said of itself.
+type peer struct {
+	loads map[string]int // its requests in flight by target; never written after construction
+	heard time.Time
+}
+
+// View returns what the gateway knows of one target.
+func (s State) View(id string) View {
+	view, _ := s.views.Get(id)
+	return view
+}
+
+// Loads returns the gateway's requests in flight by target.
+func (s State) Loads() map[string]int {
+	loads := map[string]int{}
+	for i := s.views.Iterator(); !i.Done(); {
+		id, view, _ := i.Next()
+		if view.Own > 0 {
+			loads[id] = view.Own
+		}
+	}
+	return loads
+}
+
+// WithPeer returns the state after another gateway told its requests in flight.
+func (s State) WithPeer(name string, loads map[string]int, now time.Time) State {
+	peers := make(map[string]peer, len(s.peers)+1)
+	for other, p := range s.peers {
+		peers[other] = p
+	}
+	peers[name] = peer{loads: loads, heard: now}
+	s.peers = peers
+	return s
+}
+
+// load returns the requests at a target, own ones and those of peers.
+func (s State) load(id string, now time.Time) int {
+	load := s.View(id).Own
+	for _, p := range s.peers {
+		if now.Sub(p.heard) <= peerSilence {
+			load += p.loads[id]
+		}
+	}
+	return load
+}
+
+// Choose picks a target for an admitted request, among those not yet tried.
+func (s State) Choose(a Admission, tried []string, random routing.Random, now time.Time) (State, roster.Target, *refusal.Refusal) {
+	serving := s.Roster.Serving(a.Service, now)
+	candidates := make([]routing.Candidate, 0, len(serving))
+	for _, t := range serving {
+		if slices.Contains(tried, t.ID) || s.View(t.ID).Attempts.Ejected(now) || !s.bearsCold(t, now) {
+			continue
+		}
+		load := s.load(t.ID, now)
+		if load >= queueFactor*max(1, t.Slots) {
+			continue
+		}
+		if t.Domain != s.Domain {
+			load += farPenalty
+		}
+		candidates = append(candidates, routing.Candidate{Target: t.ID, Load: load, Limit: max(1, t.Slots)})
+	}
+	chosen, found := routing.Least(candidates, random)
+	if !found {
+		return s, roster.Target{}, refused(refusal.New(refusal.Busy, refusal.No, "no target of the service can take the request now; try again").WithRetry(busyRetry))
+	}
+	t, _ := s.Roster.Target(chosen.Target)
+	view := s.View(t.ID)
+	view.Own++
+	view.sends = append(recentSends(view.sends, now), now)
+	s.views = s.views.Set(t.ID, view)
+	return s, t, nil
+}
+
+// bearsCold reports whether the gateway's share of what a cold target bears
+// allows one more request. Any target may have turned cold unseen, so the bound
+// holds for all targets of a service that can be cold.
+func (s State) bearsCold(t roster.Target, now time.Time) bool {
+	service, found := s.Book.Service(t.Service)
+	if !found || service.ColdRate <= 0 {
+		return true
+	}
+	gateways := max(fewestShares, len(s.peers)+1)
+	bound := (service.ColdRate*s.bounds.ColdOvershoot + s.bounds.ColdSlack) / float64(gateways)
+	return len(recentSends(s.View(t.ID).sends, now)) < max(1, int(bound))
+}
+
+// recentSends returns a copy of the sends within coldWindow, with room for one more.
+func recentSends(sends []time.Time, now time.Time) []time.Time {
+	recent := make([]time.Time, 0, len(sends)+1)
+	for _, at := range sends {
+		if now.Sub(at) <= coldWindow {
+			recent = append(recent, at)
+		}
+	}
+	return recent
+}
+
+// WithAttempt returns the state after an attempt at a target ended. A target is
+// ejected after several failures in a row, unless that would leave too few.
+func (s State) WithAttempt(id string, failed bool, now time.Time) State {
+	view, found := s.views.Get(id)
+	if !found {
+		return s
+	}
+	view.Own = max(0, view.Own-1)
+	var due bool
+	view.Attempts, due = view.Attempts.With(failed, now)
+	if due && s.mayEject(id, now) {
+		view.Attempts = view.Attempts.WithEjection(now)
+		s.Trail = s.Trail.With(now, "target "+id, "attempts in a row failed", "serving", "ejected")
+	}
+	s.views = s.views.Set(id, view)
+	return s
+}
+
+func (s State) mayEject(id string, now time.Time) bool {
+	t, found := s.Roster.Target(id)
+	if !found {
+		return false
+	}
+	serving := s.Roster.Serving(t.Service, now)
+	ejected := 1
+	for _, other := range serving {
+		if other.ID != id && s.View(other.ID).Attempts.Ejected(now) {
+			ejected++
+		}
+	}
+	return ejected*ejectDivisor <= len(serving)
+}
--- a/core/entry/view.go
+++ b/core/entry/view.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"hornbeamtray/core/eject"
 	"hornbeamtray/core/refusal"
 	"hornbeamtray/core/routing"
 	"hornbeamtray/core/ticket"
@@ -15,13 +16,8 @@
 // taken to be over.
 const loadHalfLife = 250 * time.Millisecond
 
-// Bounds on ejection.
-const (
-	ejectAfter   = 3 // failures in a row
-	ejectDivisor = 2 // at most one target in so many is ejected
-	ejection     = time.Second
-	maxEjection  = 30 * time.Second
-)
+// ejectDivisor bounds ejection: at most one target in so many is ejected.
+const ejectDivisor = 2
 
 // noTargetRetry is when to try again after no target could take a request.
 const noTargetRetry = 200 * time.Millisecond
@@ -44,8 +40,7 @@
 	Own      int       // Own counts own requests at the target now.
 	OwnThen  int       // OwnThen is what Own was when the report came.
 	Lost     bool      // Lost is true after the agent's connection failed, until it reports again.
-	Failures int       // Failures counts failed attempts in a row.
-	Ejected  time.Time // Ejected is until when the target gets no work because of them.
+	Attempts eject.Record
 }
 
 // Alive reports whether the target's agent was heard within silence before now.
@@ -85,7 +80,7 @@
 		return Silent
 	case !view.Report.Taking || s.leaving[target]:
 		return Leaving
-	case now.Before(view.Ejected):
+	case view.Attempts.Ejected(now):
 		return Ejected
 	default:
 		return Serving
@@ -115,7 +110,7 @@
 	}
 	after := View{Target: target, Report: report, Received: now, Own: before.Own, OwnThen: before.Own}
 	if before.Report.Incarnation == report.Incarnation && !before.Lost {
-		after.Failures, after.Ejected = before.Failures, before.Ejected
+		after.Attempts = before.Attempts
 	}
 	s.views = s.views.Set(target, after)
 	if before.Report.Entries != report.Entries || before.Lost {
@@ -159,15 +154,10 @@
 		return s
 	}
 	view.Own = max(0, view.Own-1)
-	switch {
-	case !failed:
-		view.Failures = 0
-	case now.Before(view.Ejected): // a late sign of what it was ejected for
-	default:
-		view.Failures++
-	}
-	if failed && !now.Before(view.Ejected) && view.Failures >= ejectAfter && s.mayEject(target, now) {
-		view.Ejected = now.Add(min(maxEjection, ejection<<min(view.Failures-ejectAfter, 10)))
+	var due bool
+	view.Attempts, due = view.Attempts.With(failed, now)
+	if due && s.mayEject(target, now) {
+		view.Attempts = view.Attempts.WithEjection(now)
 		s.Trail = s.Trail.With(now, "target "+target, "attempts in a row failed", "serving", "ejected")
 	}
 	s.views = s.views.Set(target, view)
@@ -181,7 +171,7 @@
 	names := s.serving[t.Service]
 	ejected := 0
 	for _, name := range names {
-		if name != target && now.Before(s.View(name).Ejected) {
+		if name != target && s.View(name).Attempts.Ejected(now) {
 			ejected++
 		}
 	}
--- a/core/imports_test.go
+++ b/core/imports_test.go
@@ -13,7 +13,7 @@
 
 // allowed are the packages that decisions may use: values, order and text.
 var allowed = map[string]bool{
-	"cmp": true, "errors": true, "fmt": true, "maps": true, "math": true, "math/rand/v2": true, "regexp": true, "slices": true,
+	"bytes": true, "cmp": true, "errors": true, "fmt": true, "maps": true, "math": true, "math/rand/v2": true, "regexp": true, "slices": true,
 	"sort": true, "strconv": true, "strings": true, "time": true,
 	"github.com/benbjohnson/immutable": true, "github.com/cespare/xxhash/v2": true,
 }
--- /dev/null
+++ b/core/roster/roster.go
@@ -0,0 +1,194 @@
+// Package roster decides which targets may get new work, from what the platform
+// lists of them and from the failure domains that operators evacuated.
+//
+// Listings come late, repeated and out of order; each carries the revision of
+// its change, and only a higher one counts.
+package roster
+
+import (
+	"maps"
+	"time"
+
+	"github.com/benbjohnson/immutable"
+)
+
+// returnTime is how long after the platform's store came back an entry that
+// lapsed meanwhile may be missing though its target lives: about two seconds by
+// the platform's contract, and a little for the way.
+const returnTime = 2300 * time.Millisecond
+
+// Target is a back end as the platform lists it.
+type Target struct {
+	ID       string
+	Service  string
+	Domain   string
+	Address  string
+	Slots    int       // Slots counts the requests that it works on at once.
+	Leaving  bool      // Leaving: it takes no new work.
+	Cold     time.Time // Cold is until when it bears little; in the past for a warm one.
+	Born     int64     // Born names the start of its process, in Unix milliseconds; 0 where unknown.
+	Revision uint64    // Revision is that of the listing.
+}
+
+// Roster is what the platform lists. Start with New.
+type Roster struct {
+	targets  *immutable.SortedMap[string, Target]
+	gone     map[string]uint64    // revision at which a target was removed; never written after construction
+	lapsed   map[string]time.Time // targets removed around an outage, and when they count as gone; never written after construction
+	out      map[string]uint64    // evacuated domains and the revision of that; never written after construction
+	back     map[string]uint64    // domains taken back and the revision of that; never written after construction
+	lost     bool
+	regained time.Time
+}
+
+// New returns an empty roster.
+func New() Roster {
+	return Roster{targets: immutable.NewSortedMap[string, Target](nil)}
+}
+
+// WithTarget returns the roster after a target was listed.
+func (r Roster) WithTarget(t Target) Roster {
+	if known, found := r.targets.Get(t.ID); found && known.Revision >= t.Revision || r.gone[t.ID] >= t.Revision {
+		return r
+	}
+	r.targets = r.targets.Set(t.ID, t)
+	if _, found := r.lapsed[t.ID]; found {
+		r.lapsed = without(r.lapsed, t.ID)
+	}
+	return r
+}
+
+// WithRemoved returns the roster after a target's entry was removed. Around an
+// outage of the store, entries of living targets lapse; they come back within
+// returnTime, and until then the target keeps its work.
+func (r Roster) WithRemoved(id string, revision uint64, now time.Time) Roster {
+	known, found := r.targets.Get(id)
+	if found && known.Revision >= revision || r.gone[id] >= revision {
+		return r
+	}
+	r.gone = with(r.gone, id, revision)
+	if !found {
+		return r
+	}
+	if until := r.regained.Add(returnTime); r.lost || now.Before(until) {
+		r.lapsed = with(r.lapsed, id, until)
+		return r
+	}
+	r.targets = r.targets.Delete(id)
+	return r
+}
+
+// WithOnly returns the roster after a whole listing of that revision: targets
+// that it lacks were removed.
+func (r Roster) WithOnly(ids map[string]bool, revision uint64, now time.Time) Roster {
+	for i := r.targets.Iterator(); !i.Done(); {
+		id, t, _ := i.Next()
+		if !ids[id] && t.Revision <= revision {
+			r = r.WithRemoved(id, revision, now)
+		}
+	}
+	return r
+}
+
+// WithOut returns the roster with a failure domain evacuated or taken back.
+func (r Roster) WithOut(domain string, out bool, revision uint64) Roster {
+	if max(r.out[domain], r.back[domain]) >= revision {
+		return r
+	}
+	if out {
+		r.out = with(r.out, domain, revision)
+	} else {
+		r.back = with(r.back, domain, revision)
+	}
+	return r
+}
+
+// WithOnlyOut returns the roster after a whole listing of that revision: the
+// domains that it lacks were taken back.
+func (r Roster) WithOnlyOut(domains map[string]bool, revision uint64) Roster {
+	for domain, at := range r.out {
+		if !domains[domain] && at <= revision {
+			r = r.WithOut(domain, false, revision)
+		}
+	}
+	return r
+}
+
+// WithLost returns the roster while the store can't be read.
+func (r Roster) WithLost() Roster {
+	r.lost = true
+	return r
+}
+
+// WithRegained returns the roster after the store could be read again.
+func (r Roster) WithRegained(now time.Time) Roster {
+	if r.lost {
+		r.lost, r.regained = false, now
+		r.lapsed = maps.Clone(r.lapsed)
+		for id := range r.lapsed {
+			r.lapsed[id] = now.Add(returnTime)
+		}
+	}
+	return r
+}
+
+// Swept returns the roster without targets that stayed missing after an outage.
+func (r Roster) Swept(now time.Time) Roster {
+	for id, until := range r.lapsed {
+		if !r.lost && !now.Before(until) {
+			r.lapsed = without(r.lapsed, id)
+			r.targets = r.targets.Delete(id)
+		}
+	}
+	return r
+}
+
+// Out reports whether operators evacuated a failure domain.
+func (r Roster) Out(domain string) bool { return r.out[domain] > r.back[domain] }
+
+// Target returns the target of that ID.
+func (r Roster) Target(id string) (Target, bool) { return r.targets.Get(id) }
+
+// Targets returns all targets listed, sorted by ID.
+func (r Roster) Targets() []Target {
+	list := make([]Target, 0, r.targets.Len())
+	for i := r.targets.Iterator(); !i.Done(); {
+		_, t, _ := i.Next()
+		list = append(list, t)
+	}
+	return list
+}
+
+// Serving returns the targets of a service that may get new work, sorted by ID.
+func (r Roster) Serving(service string, now time.Time) []Target {
+	var list []Target
+	for i := r.targets.Iterator(); !i.Done(); {
+		_, t, _ := i.Next()
+		if t.Service == service && r.Bears(t, now) {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+// Bears reports whether a target may get new work at time now.
+func (r Roster) Bears(t Target, now time.Time) bool {
+	if t.Leaving || r.Out(t.Domain) {
+		return false
+	}
+	until, lapsed := r.lapsed[t.ID]
+	return !lapsed || r.lost || now.Before(until)
+}
+
+func with[V any](m map[string]V, key string, value V) map[string]V {
+	out := make(map[string]V, len(m)+1)
+	maps.Copy(out, m)
+	out[key] = value
+	return out
+}
+
+func without[V any](m map[string]V, key string) map[string]V {
+	out := maps.Clone(m)
+	delete(out, key)
+	return out
+}
--- /dev/null
+++ b/core/route/values.go
@@ -0,0 +1,102 @@
+package route
+
+import "time"
+
+// Kind tells how often a request may run.
+type Kind string
+
+// The kinds of route.
+const (
+	Idempotent Kind = "idempotent" // Idempotent requests may run more than once.
+	Once       Kind = "once"       // Once: a request runs at most once.
+	Stream     Kind = "stream"     // Stream: the answer is a series of numbered events.
+)
+
+// Share is the part of a route's requests that goes to one service.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route selects a service for the requests of one host below one path.
+type Route struct {
+	Name      string
+	Host      string
+	Prefix    string // Prefix begins and ends with a slash.
+	Kind      Kind
+	Timeout   time.Duration // Timeout bounds how long a caller is kept waiting.
+	Goal      time.Duration // Goal is when an answer, or a stream's first event, is on time.
+	Gap       time.Duration // Gap is the longest pause between events that is on time.
+	Priority  int           // Priority orders requests; 0 goes first.
+	Attempts  int           // Attempts bounds the targets that one request may be sent to.
+	Public    bool          // Public requests carry no key.
+	Resumable bool          // Resumable: another run can continue a stream after an event.
+	Shares    []Share       // never written after construction
+}
+
+// Repeatable reports whether a second run of a request does no harm.
+func (r Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
+}
+
+// Service picks the service of one request; the draw is an even random number
+// from 0 up to 1.
+func (r Route) Service(draw float64) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += max(0, s.Weight)
+	}
+	left := draw * float64(total)
+	for _, s := range r.Shares {
+		left -= float64(max(0, s.Weight))
+		if left < 0 {
+			return s.Service
+		}
+	}
+	if len(r.Shares) == 0 {
+		return ""
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
+
+// Engine is what operators declare of a service's model engines.
+type Engine struct {
+	Slots      int           // Slots bounds the requests that one engine batches.
+	Step       time.Duration // Step is the least time of one token step.
+	PerRequest time.Duration // PerRequest is added to a step for each request that writes.
+	Stride     int           // Stride counts the steps of one pass.
+	Chunk      int           // Chunk bounds the prompt tokens read in one step.
+	ReadRate   float64       // ReadRate counts the prompt tokens read in a second.
+	Tokens     int           // Tokens bounds the tokens that an engine's memory holds.
+	Prompt     int           // Prompt is the usual length of a prompt, in tokens.
+	Answer     int           // Answer is the usual length of an answer, in tokens.
+
+	Layers       int     // Layers counts the sets of layers that are placed alike; 0 for an engine without experts.
+	Experts      int     // Experts counts the experts of one set.
+	Places       int     // Places bounds the experts of one set on one rank.
+	Spare        int     // Spare bounds the experts new to one rank and set in one map.
+	ExpertMB     float64 // ExpertMB is the size of one expert in megabytes.
+	ExpertWeight float64 // ExpertWeight is the part of a step's work that experts do.
+}
+
+// Service is something that routes lead to.
+type Service struct {
+	Name        string
+	Connections int           // Connections bounds those to one target from all callers; 0 for no bound.
+	ColdRate    float64       // ColdRate counts the requests a second that a cold target bears; 0 for no bound.
+	Cold        time.Duration // Cold is how long a target stays cold after its start.
+	Engine      Engine        // Engine is empty for a plain service.
+}
+
+// Account is a client account.
+type Account struct {
+	Name     string
+	Priority int
+	Ranked   bool // Ranked: the account's priority replaces that of the route.
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	Header int // Header bounds a request's head, in bytes.
+	Body   int // Body bounds a request's body, in bytes.
+}
--- a/core/routing/choose.go
+++ b/core/routing/choose.go
@@ -47,3 +47,22 @@
 	}
 	return free[i], true
 }
+
+// Least picks the candidate that is the least loaded for its limit, at random
+// among equal ones, and reports whether there was any. It suits loads that are
+// known to be recent; on late ones Choose spreads better.
+func Least(candidates []Candidate, random Random) (Candidate, bool) {
+	if len(candidates) == 0 {
+		return Candidate{}, false
+	}
+	var best []Candidate
+	for _, c := range candidates {
+		switch {
+		case len(best) == 0 || c.share() < best[0].share():
+			best = append(best[:0], c)
+		case c.share() == best[0].share():
+			best = append(best, c)
+		}
+	}
+	return best[random.IntN(len(best))], true
+}
--- /dev/null
+++ b/gateway/follow/follow.go
@@ -0,0 +1,185 @@
+// Package follow keeps a gateway's knowledge of what the platform publishes up
+// to date: it reads the platform's store, or peers that have read it, and hands
+// what is new to the control goroutine.
+//
+// Published items are opaque here; an adapter decodes them.
+package follow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"hornbeamtray/core/dispatch"
+)
+
+const (
+	watchTime    = time.Second            // a watch without news ends after this, so that proof is never much older
+	pace         = 700 * time.Millisecond // between reads that brought news; calls are priced, and a drain allows 2 s
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = 500 * time.Millisecond // the store's return is to be noticed well within a second
+	relayPace    = 400 * time.Millisecond // between questions to peers while the store can't be read
+)
+
+// Item is one published item.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+	Removed  bool
+}
+
+// Batch is what one read brought.
+type Batch struct {
+	Items    []Item
+	Revision uint64    // Revision is that up to which all is known.
+	Whole    bool      // Whole: everything that exists is in Items.
+	At       time.Time // At is when the read began.
+}
+
+// ErrCompacted is the cause of an error of Watch where the changes after a
+// revision are no longer known, so that everything must be listed anew.
+var ErrCompacted = errors.New("the history after this revision was dropped")
+
+// Store reads what the platform publishes.
+type Store interface {
+	// List reads everything.
+	List(ctx context.Context) (Batch, error)
+	// Watch waits for changes after a revision, for at most wait.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
+}
+
+// Peers tells what other gateways have read.
+type Peers interface {
+	// Relayed returns the newest that any peer knows after a revision, and
+	// whether there is any.
+	Relayed(ctx context.Context, after uint64) (Batch, bool)
+}
+
+// Control takes what is new.
+type Control interface {
+	Change(change func(dispatch.State, time.Time) dispatch.State)
+}
+
+// Decode turns a batch into news.
+type Decode func(Batch, time.Time) dispatch.News
+
+// Journal writes events.
+type Journal interface {
+	Event(event string, pairs ...any)
+}
+
+// Follower follows the platform until Close.
+type Follower struct {
+	tomb    tomb.Tomb
+	store   Store
+	peers   Peers
+	control Control
+	decode  Decode
+	journal Journal
+	clock   func() time.Time
+	mirror  *Mirror
+
+	lost    bool          // owned by run
+	backoff time.Duration // owned by run
+	relayed time.Time     // owned by run; when peers were last asked
+}
+
+// New starts following.
+func New(store Store, peers Peers, mirror *Mirror, control Control, decode Decode, journal Journal, clock func() time.Time) *Follower {
+	f := &Follower{
+		store: store, peers: peers, mirror: mirror, control: control, decode: decode, journal: journal, clock: clock, backoff: firstBackoff,
+	}
+	f.tomb.Go(f.run)
+	return f
+}
+
+// Close stops following and waits.
+func (f *Follower) Close() error {
+	f.tomb.Kill(nil)
+	return f.tomb.Wait()
+}
+
+func (f *Follower) run() error {
+	ctx := f.tomb.Context(context.Background())
+	whole := true
+	for ctx.Err() == nil {
+		batch, err := f.read(ctx, whole)
+		switch {
+		case ctx.Err() != nil:
+		case errors.Is(err, ErrCompacted):
+			f.journal.Event("store history dropped", "revision", f.mirror.Revision())
+			whole = true
+			f.pause(ctx, firstBackoff)
+		case err != nil:
+			f.failed(ctx, err)
+		default:
+			whole = false
+			f.regained()
+			f.take(batch)
+			if len(batch.Items) > 0 {
+				f.pause(ctx, pace)
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Follower) read(ctx context.Context, whole bool) (Batch, error) {
+	if whole {
+		return f.store.List(ctx)
+	}
+	return f.store.Watch(ctx, f.mirror.Revision(), watchTime)
+}
+
+// failed notes that the store can't be read, and asks peers that may still read it.
+func (f *Follower) failed(ctx context.Context, err error) {
+	if !f.lost {
+		f.lost = true
+		f.journal.Event("store lost", "error", err.Error(), "revision", f.mirror.Revision())
+		f.control.Change(func(s dispatch.State, now time.Time) dispatch.State {
+			return s.WithStore(false, "it can't be read", now)
+		})
+	}
+	if now := f.clock(); now.Sub(f.relayed) >= relayPace {
+		f.relayed = now
+		if batch, found := f.peers.Relayed(ctx, f.mirror.Revision()); found {
+			f.take(batch)
+		}
+	}
+	f.pause(ctx, f.backoff/2+time.Duration(rand.Float64()*float64(f.backoff/2)))
+	f.backoff = min(2*f.backoff, maxBackoff)
+}
+
+func (f *Follower) regained() {
+	f.backoff = firstBackoff
+	if !f.lost {
+		return
+	}
+	f.lost = false
+	f.journal.Event("store regained", "revision", f.mirror.Revision())
+	f.control.Change(func(s dispatch.State, now time.Time) dispatch.State {
+		return s.WithStore(true, "it was read again", now)
+	})
+}
+
+// take keeps a batch for peers and hands it to the control goroutine.
+func (f *Follower) take(batch Batch) {
+	f.mirror.Take(batch)
+	news := f.decode(batch, f.clock())
+	f.control.Change(func(s dispatch.State, now time.Time) dispatch.State {
+		return s.WithNews(news, now)
+	})
+}
+
+func (f *Follower) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/gateway/peers/peers.go
@@ -0,0 +1,246 @@
+// Package peers keeps gateways in touch with each other: they tell each other
+// their requests in flight, and pass on what they read of the platform while
+// some of them can't read it.
+//
+// A gateway learns of others from seeds and from whoever it talks to. Nothing
+// is agreed on; each message only adds to what its receiver knows.
+package peers
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"hornbeamtray/adapter/wire"
+	"hornbeamtray/core/dispatch"
+	"hornbeamtray/gateway/follow"
+)
+
+const (
+	greetPace   = 400 * time.Millisecond // between greetings of one peer; load reports are good for a few of these
+	callTimeout = 300 * time.Millisecond // well above a round trip between failure domains
+	forgetAfter = 30 * time.Second       // a peer that was not heard for so long is no longer greeted
+	maxPeers    = 512
+)
+
+// Names of the calls.
+const (
+	greetCall = "/gateway/Greet"
+	relayCall = "/gateway/Relay"
+)
+
+// greeting is what gateways tell each other of themselves.
+type greeting struct {
+	Name    string         `json:"name"`
+	Address string         `json:"address"`
+	Loads   map[string]int `json:"loads"`           // requests in flight by target
+	Known   []string       `json:"known,omitempty"` // addresses of other gateways
+}
+
+// question asks for what changed after a revision.
+type question struct {
+	After uint64 `json:"after"`
+}
+
+// relayed is what a gateway knows of the platform.
+type relayed struct {
+	Complete bool          `json:"complete"`
+	Items    []item        `json:"items"`
+	Revision uint64        `json:"revision"`
+	Age      time.Duration `json:"age"` // since the read that proved it began
+}
+
+type item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+	Removed  bool   `json:"removed,omitempty"`
+}
+
+// Service is the gateway that peers are told of.
+type Service interface {
+	State() dispatch.State
+	Change(change func(dispatch.State, time.Time) dispatch.State)
+}
+
+// Peers knows the other gateways.
+type Peers struct {
+	tomb    tomb.Tomb
+	name    string
+	address string
+	seeds   func() []string
+	client  *wire.Client
+	service Service
+	mirror  *follow.Mirror
+	clock   func() time.Time
+
+	mu    sync.Mutex
+	heard map[string]time.Time // by address; guarded by mu
+}
+
+// New greets peers until Close. The seeds are read anew for each round.
+func New(name, address string, seeds func() []string, client *wire.Client, service Service, mirror *follow.Mirror, clock func() time.Time) *Peers {
+	p := &Peers{
+		name: name, address: address, seeds: seeds, client: client, service: service, mirror: mirror, clock: clock, heard: map[string]time.Time{},
+	}
+	p.tomb.Go(p.run)
+	return p
+}
+
+// Close stops greeting and waits.
+func (p *Peers) Close() error {
+	p.tomb.Kill(nil)
+	return p.tomb.Wait()
+}
+
+// Handlers answers the calls of peers.
+func (p *Peers) Handlers() wire.Handlers {
+	return wire.Handlers{greetCall: p.greeted, relayCall: p.relay}
+}
+
+func (p *Peers) run() error {
+	ctx := p.tomb.Context(context.Background())
+	ticker := time.NewTicker(greetPace)
+	defer ticker.Stop()
+	for {
+		for _, address := range p.known() {
+			p.tomb.Go(round{peers: p, address: address}.run)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// round is one greeting of one peer.
+type round struct {
+	peers   *Peers
+	address string
+}
+
+func (r round) run() error {
+	ctx, cancel := context.WithTimeout(r.peers.tomb.Context(context.Background()), callTimeout)
+	defer cancel()
+	var answer greeting
+	if r.peers.client.Call(ctx, r.address, greetCall, r.peers.greeting(), &answer) == nil {
+		r.peers.note(answer)
+	}
+	return nil // a peer that gives no answer is greeted again in the next round
+}
+
+func (p *Peers) greeting() greeting {
+	return greeting{Name: p.name, Address: p.address, Loads: p.service.State().Loads(), Known: p.known()}
+}
+
+func (p *Peers) greeted(_ context.Context, read func(any) error) (any, error) {
+	var g greeting
+	if err := read(&g); err != nil {
+		return nil, err
+	}
+	p.note(g)
+	return p.greeting(), nil
+}
+
+// note takes what a peer told.
+func (p *Peers) note(g greeting) {
+	if g.Name == p.name || g.Name == "" {
+		return
+	}
+	p.mu.Lock()
+	now := p.clock()
+	p.heard[g.Address] = now
+	for _, address := range g.Known {
+		_, known := p.heard[address]
+		if _, err := netip.ParseAddrPort(address); err == nil && !known && address != p.address && len(p.heard) < maxPeers {
+			p.heard[address] = now
+		}
+	}
+	p.mu.Unlock()
+	p.service.Change(func(s dispatch.State, now time.Time) dispatch.State {
+		return s.WithPeer(g.Name, g.Loads, now)
+	})
+}
+
+// known returns the addresses of other gateways, sorted.
+func (p *Peers) known() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []string
+	for address, heard := range p.heard {
+		if p.clock().Sub(heard) > forgetAfter {
+			delete(p.heard, address)
+			continue
+		}
+		list = append(list, address)
+	}
+	for _, address := range p.seeds() {
+		if address != p.address && !slices.Contains(list, address) {
+			list = append(list, address)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+func (p *Peers) relay(_ context.Context, read func(any) error) (any, error) {
+	var q question
+	if err := read(&q); err != nil {
+		return nil, err
+	}
+	batch, complete := p.mirror.Since(q.After)
+	answer := relayed{Complete: complete, Revision: batch.Revision, Age: p.clock().Sub(batch.At)}
+	for _, it := range batch.Items {
+		answer.Items = append(answer.Items, item(it))
+	}
+	return answer, nil
+}
+
+// Relayed returns the newest that any peer knows after a revision, and whether
+// there is any. Its age counts from before the question, so that it is never
+// taken for newer than it is.
+func (p *Peers) Relayed(ctx context.Context, after uint64) (follow.Batch, bool) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answers := make(chan follow.Batch)
+	addresses := p.known()
+	for _, address := range addresses {
+		p.tomb.Go(ask{peers: p, ctx: ctx, address: address, after: after, answers: answers}.run)
+	}
+	var best follow.Batch
+	for range addresses {
+		if batch := <-answers; batch.At.After(best.At) {
+			best = batch
+		}
+	}
+	return best, !best.At.IsZero()
+}
+
+// ask is one question to one peer. It always sends one batch, an empty one where
+// the peer gave no answer.
+type ask struct {
+	peers   *Peers
+	ctx     context.Context
+	address string
+	after   uint64
+	answers chan<- follow.Batch
+}
+
+func (a ask) run() error {
+	asked := a.peers.clock()
+	var answer relayed
+	var batch follow.Batch
+	if err := a.peers.client.Call(a.ctx, a.address, relayCall, question{After: a.after}, &answer); err == nil && answer.Complete {
+		batch = follow.Batch{Revision: answer.Revision, At: asked.Add(-answer.Age)}
+		for _, it := range answer.Items {
+			batch.Items = append(batch.Items, follow.Item(it))
+		}
+	}
+	a.answers <- batch
+	return nil
+}
--- /dev/null
+++ b/gateway/serve/request.go
@@ -0,0 +1,343 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"hornbeamtray/core/dispatch"
+	"hornbeamtray/core/events"
+	"hornbeamtray/core/ledger"
+	"hornbeamtray/core/refusal"
+	"hornbeamtray/core/retry"
+	"hornbeamtray/core/roster"
+	"hornbeamtray/core/route"
+)
+
+const (
+	maxHeld     = 64 << 10                // bytes of an answer in one piece that are held until it is whole
+	readSize    = 16 << 10                // bytes read from a target at once
+	maxTries    = 4                       // attempts of one request, those that ran nowhere included
+	leastLeft   = 20 * time.Millisecond   // with less time left another attempt can't succeed
+	firstWait   = 1900 * time.Millisecond // for a stream's first event; callers give up after two seconds
+	eventWait   = 1700 * time.Millisecond // between events; a group that lost a rank answers after 1.5 s
+	patiencePer = 2                       // an attempt that may be repeated gets this part of the time left
+)
+
+// Request is one request of a caller.
+type Request struct {
+	Message
+	ID      string
+	Host    string
+	Path    string
+	Key     string
+	Allowed time.Duration // Allowed is how long the caller waits; 0 for no bound.
+	After   string        // After is the number of the last event that the caller has.
+}
+
+// Outcome is what a request came to. Without a refusal the answer is whole.
+type Outcome struct {
+	Refusal *refusal.Refusal
+	Begun   bool // Begun is true where the caller has the answer's head.
+}
+
+// Serve answers one request through out, or returns why it could not.
+func (s *Service) Serve(ctx context.Context, r Request, out Writer) Outcome {
+	arrived := s.clock()
+	a, refused := s.admit(ctx, dispatch.Request{Host: r.Host, Path: r.Path, Key: r.Key, Allowed: r.Allowed})
+	if refused != nil {
+		s.journal.Event("refused", "request", r.ID, "kind", refused.Kind, "ran", refused.Ran, "host", r.Host, "path", r.Path,
+			"version", s.State().Book.Version, "proof", s.clock().Sub(s.State().Proved))
+		return Outcome{Refusal: refused}
+	}
+	defer s.release()
+	ctx, cancel := context.WithTimeout(ctx, a.Deadline.Sub(s.clock()))
+	defer cancel()
+	defer context.AfterFunc(s.aborting, cancel)()
+	d := &delivery{service: s, admission: a, request: r, out: out, ran: refusal.No, after: r.After}
+	outcome := d.run(ctx)
+	d.note(outcome, s.clock().Sub(arrived))
+	return outcome
+}
+
+// delivery is one request on its way to a whole answer.
+type delivery struct {
+	service   *Service
+	admission dispatch.Admission
+	request   Request
+	out       Writer
+
+	target  roster.Target
+	tried   []string
+	runs    int         // attempts that may have run
+	ran     refusal.Ran // the most cautious word on all attempts
+	begun   bool
+	after   string   // number of the last event that the caller has
+	failure *failure // the latest answer of a target that failed
+	first   time.Duration
+}
+
+// failure is a target's own answer that the request failed.
+type failure struct {
+	head Head
+	body []byte
+}
+
+func (d *delivery) run(ctx context.Context) Outcome {
+	for {
+		c := d.service.choose(ctx, d.request.Key, d.admission, d.tried)
+		if c.refused != nil {
+			return d.give(*c.refused)
+		}
+		d.target = c.target
+		d.tried = append(d.tried, c.target.ID)
+		end, whole := d.attempt(ctx)
+		fault := !whole && (end.End == retry.Broken || end.End == retry.NotSent || end.End == retry.Stopped) && ctx.Err() == nil
+		d.service.attempted(d.target.ID, fault)
+		if whole {
+			return Outcome{Begun: true}
+		}
+		next := d.decide(end)
+		d.ran = retry.Worse(d.ran, next.Refusal.Ran)
+		if ctx.Err() != nil {
+			return d.give(d.ended(ctx))
+		}
+		if next.Step != retry.Elsewhere || !d.again(ctx, end) {
+			return d.give(next.Refusal)
+		}
+	}
+}
+
+// decide returns what follows an attempt. No target keeps a record of what it
+// ran, so a question to it is never answered.
+func (d *delivery) decide(end retry.Attempt) retry.Next {
+	next := retry.Decide(end)
+	if next.Step == retry.Resolve {
+		return retry.Resolved(end, ledger.Absent, next.Refusal)
+	}
+	return next
+}
+
+// again reports whether another attempt may follow. One that no target saw is
+// free of the retry budget.
+func (d *delivery) again(ctx context.Context, end retry.Attempt) bool {
+	if len(d.tried) >= maxTries || d.runs >= max(1, d.admission.Route.Attempts) {
+		return false
+	}
+	if d.admission.Deadline.Sub(d.service.clock()) < leastLeft {
+		return false
+	}
+	return end.End == retry.NotSent || d.service.mayRetry(ctx, d.admission.Service)
+}
+
+// ended returns the refusal of a request whose time is over or whose caller left.
+func (d *delivery) ended(ctx context.Context) refusal.Refusal {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refusal.New(refusal.Deadline, d.ran, "the request's deadline passed; allow it more time")
+	}
+	return refusal.New(refusal.Cut, d.ran, "the caller left, or this instance is stopping")
+}
+
+// give ends the request with what the target answered last, or with a refusal.
+func (d *delivery) give(r refusal.Refusal) Outcome {
+	if d.failure != nil && !d.begun {
+		if d.out.Begin(d.failure.head) == nil && d.out.Write(d.failure.body) == nil {
+			return Outcome{Begun: true}
+		}
+	}
+	r = r.WithRan(retry.Worse(d.ran, r.Ran))
+	return Outcome{Refusal: &r, Begun: d.begun}
+}
+
+// attempt sends the request once and delivers the answer. It reports how the
+// attempt ended, and whether the caller has the whole answer.
+func (d *delivery) attempt(ctx context.Context) (retry.Attempt, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	left := d.admission.Deadline.Sub(d.service.clock())
+	dog := newWatchdog(cancel)
+	defer dog.rest()
+	dog.expect(d.patience(left))
+	reply, err := d.service.targets.Send(ctx, Call{
+		Message: d.request.Message, ID: d.request.ID, Address: d.target.Address, Instance: d.target.ID,
+		Host: d.request.Host, Account: d.admission.Account, Ranked: d.admission.Route.Kind == route.Stream, Priority: d.admission.Priority,
+		Left: left, After: d.after,
+	})
+	if errors.Is(err, ErrUnsent) {
+		d.failed("not sent", err)
+		return d.end(retry.NotSent), false
+	}
+	d.runs++
+	if err != nil {
+		d.failed("broken", err)
+		return d.end(retry.Broken), false
+	}
+	defer reply.Close()
+	head := reply.Head()
+	switch {
+	case head.NotRun:
+		d.runs--
+		d.failed("not run", nil, "status", head.Status)
+		end := d.end(retry.Refused)
+		end.Refusal = refusal.New(refusal.Busy, refusal.No, "the target did not run the request; try again").WithRetry(refusedRetry)
+		return end, false
+	case !head.Stamped:
+		d.failed("unsigned answer", nil, "status", head.Status)
+		return d.end(retry.Broken), false
+	case head.Status < 300 && d.admission.Route.Kind == route.Stream:
+		return d.stream(reply, dog)
+	default:
+		return d.piece(reply, left)
+	}
+}
+
+// refusedRetry is when to try again after targets refused a request.
+const refusedRetry = 250 * time.Millisecond
+
+// patience returns how long an attempt may stay without a sign of its answer.
+func (d *delivery) patience(left time.Duration) time.Duration {
+	if d.admission.Route.Kind == route.Stream {
+		return min(left, firstWait)
+	}
+	if !d.admission.Route.Repeatable() || d.runs+1 >= d.admission.Route.Attempts {
+		return left
+	}
+	return left / patiencePer
+}
+
+// end returns an attempt that ended so.
+func (d *delivery) end(end retry.End) retry.Attempt {
+	return retry.Attempt{
+		End: end, Idempotent: d.admission.Route.Repeatable(), Resumes: d.admission.Route.Kind == route.Stream,
+		Delivered: d.begun, Sends: 1,
+	}
+}
+
+// piece delivers an answer that comes in one piece. It is held until it is
+// whole, so that one that breaks off can be fetched elsewhere.
+func (d *delivery) piece(reply Reply, _ time.Duration) (retry.Attempt, bool) {
+	head := reply.Head()
+	held := make([]byte, 0, min(maxHeld, max(512, head.Length+1)))
+	var err error
+	for err == nil && len(held) < maxHeld {
+		var n int
+		if len(held) == cap(held) {
+			held = append(held, 0)[:len(held)]
+		}
+		n, err = reply.Read(held[len(held):cap(held)])
+		held = held[:len(held)+n]
+	}
+	switch {
+	case err == io.EOF && head.Status >= 500:
+		d.failure = &failure{head: sized(head, len(held)), body: held}
+		d.failed("target failed", nil, "status", head.Status)
+		end := d.end(retry.Stopped)
+		end.Refusal = refusal.New(refusal.Failed, refusal.Yes, "the target failed while it ran the request")
+		return end, false
+	case err == io.EOF:
+		d.failure = nil
+		return retry.Attempt{}, d.out.Begin(sized(head, len(held))) == nil && d.out.Write(held) == nil
+	case err != nil:
+		d.failed("broken", err)
+		return d.end(retry.Broken), false
+	}
+	return d.rest(reply, held)
+}
+
+// rest delivers an answer that is too large to be held.
+func (d *delivery) rest(reply Reply, held []byte) (retry.Attempt, bool) {
+	if d.out.Begin(reply.Head()) != nil || d.out.Write(held) != nil {
+		return d.end(retry.Abandoned), false
+	}
+	d.begun = true
+	buffer := make([]byte, readSize)
+	for {
+		n, err := reply.Read(buffer)
+		if n > 0 && d.out.Write(buffer[:n]) != nil {
+			return d.end(retry.Abandoned), false
+		}
+		if err == io.EOF {
+			return retry.Attempt{}, true
+		}
+		if err != nil {
+			d.failed("broken", err)
+			return d.end(retry.Broken), false
+		}
+	}
+}
+
+// stream delivers whole events as they come.
+func (d *delivery) stream(reply Reply, dog *watchdog) (retry.Attempt, bool) {
+	var splitter events.Splitter
+	buffer := make([]byte, readSize)
+	for {
+		dog.expect(d.eventWait())
+		n, err := reply.Read(buffer)
+		dog.rest()
+		if whole := splitter.Take(buffer[:n]); len(whole) > 0 {
+			if !d.deliver(reply.Head(), whole, splitter.Last()) {
+				return d.end(retry.Abandoned), false
+			}
+		}
+		if err == io.EOF && !splitter.Partial() {
+			return retry.Attempt{}, d.begun || d.deliver(reply.Head(), nil, d.after)
+		}
+		if err != nil {
+			d.failed("stream broken", err, "after", d.after)
+			return d.end(retry.Broken), false
+		}
+	}
+}
+
+func (d *delivery) eventWait() time.Duration {
+	if !d.begun {
+		return firstWait
+	}
+	return eventWait
+}
+
+// deliver hands events to the caller, after the head of the first run.
+func (d *delivery) deliver(head Head, whole []byte, last string) bool {
+	if !d.begun {
+		head.Length = -1
+		if d.out.Begin(head) != nil {
+			return false
+		}
+		d.begun = true
+		d.first = d.admission.Deadline.Sub(d.service.clock())
+	}
+	if len(whole) > 0 && d.out.Write(whole) != nil {
+		return false
+	}
+	d.after = last
+	return true
+}
+
+func sized(head Head, length int) Head {
+	head.Length = int64(length)
+	return head
+}
+
+// failed logs an attempt that brought no answer.
+func (d *delivery) failed(what string, err error, pairs ...any) {
+	d.service.meter.Inc("attempts", what)
+	pairs = append([]any{"request", d.request.ID, "target", d.target.ID, "how", what, "revision", d.target.Revision}, pairs...)
+	if err != nil {
+		pairs = append(pairs, "error", err.Error())
+	}
+	d.service.journal.Event("attempt failed", pairs...)
+}
+
+// note logs what the request came to.
+func (d *delivery) note(o Outcome, took time.Duration) {
+	kind, ran := "answered", refusal.Yes
+	if o.Refusal != nil {
+		kind, ran = string(o.Refusal.Kind), o.Refusal.Ran
+	}
+	d.service.meter.Inc("requests", kind)
+	d.service.meter.Observe("request_time", took)
+	d.service.journal.Event("request", "request", d.request.ID, "route", d.admission.Route.Name, "account", d.admission.Account,
+		"service", d.admission.Service, "target", d.target.ID, "attempts", len(d.tried), "outcome", kind, "ran", ran,
+		"begun", o.Begun, "took", took, "version", d.admission.Version)
+}
