--- a/adapter/journal/writer.go
+++ b/adapter/journal/writer.go
@@ -27,13 +27,18 @@
 
 // Redirect has all log lines go to out through a Writer, which the caller closes.
 func Redirect(out io.Writer) *Writer {
-	w := &Writer{out: out, lines: make(chan []byte, waitingLines)}
+	w := newWriter(out)
 	flags := flag.NewFlagSet("logs", flag.ContinueOnError)
 	klog.InitFlags(flags)
 	_ = flags.Set("logtostderr", "false")
 	_ = flags.Set("stderrthreshold", "FATAL")
 	_ = flags.Set("one_output", "true")
 	klog.SetOutput(w)
+	return w
+}
+
+func newWriter(out io.Writer) *Writer {
+	w := &Writer{out: out, lines: make(chan []byte, waitingLines)}
 	w.tomb.Go(w.run)
 	return w
 }
--- a/steward/lead/lead.go
+++ b/steward/lead/lead.go
@@ -29,7 +29,6 @@
 
 	trigger = 1.60 // skew of a set, over the least possible, from which it is placed anew
 	target  = 1.25 // skew that a new placement aims at
-	doubt   = 0.05 // relative noise of a rank's load up to which a measurement counts
 )
 
 // Lead leads the own group while the own rank is the first.
@@ -114,7 +113,7 @@
 		l.journal.Event("paused while a switch was in progress", "for", now.Sub(l.rounded), "phase", l.coordinator.Phase)
 		l.leading = false
 	}
-	l.demand.take(observed, shape)
+	l.demand.take(observed, shape, l.clock())
 	if !l.leading || l.group != own.Group || l.coordinator.Epoch != own.Status.Epoch {
 		if !statuses.Complete(own.Status.Size, own.Status.Epoch) {
 			return
@@ -122,7 +121,7 @@
 		l.begin(own, observed, statuses, shape)
 	}
 	l.carry(ctx, statuses)
-	if l.coordinator.Phase == switching.Idle && settled(statuses, own.Status.Size, own.Status.Epoch) {
+	if l.coordinator.Phase == switching.Idle && l.demand.enough() && settled(statuses, own.Status.Size, own.Status.Epoch) {
 		l.plan(ctx, observed, statuses, shape)
 	}
 }
@@ -248,9 +247,6 @@
 	}
 	next, worst, moved := slices.Clone(before), 0.0, 0
 	for set, d := range l.demand.sets {
-		if d.Samples == 0 {
-			return
-		}
 		load := append(slices.Clone(d.Load), 0)
 		layer := expert.FromRanks(before[set], shape.Places, shape.Experts)
 		least := expert.Bound(d.Load, speeds, shape.Places)
