Tell peers of each send at once

Ruled out: slow ranks and prompts; below 12 running no first event was late.

Now a gateway greets its peers as it sends, at most every 15 ms.

Lines of requests tell the time to the first part and the longest gap. Prepare is sent again at once to ranks that gave no answer.

--- a/core/switching/coordinator.go
+++ b/core/switching/coordinator.go
@@ -58,7 +58,7 @@
 	rounds   int    // rounds of orders in this phase
 	until    time.Time
 	armed    map[int]bool // ranks that are armed; never written after construction
-	accepted map[int]bool // ranks that took the version of Undoing; never written after construction
+	accepted map[int]bool // ranks that took the version of the phase; never written after construction
 	absent   bool         // absent: the leader's rank can't be reached
 	broken   bool         // broken: a rank refused what the phase needs
 }
@@ -261,11 +261,9 @@
 	holder := Holder(c.Size)
 	switch c.Phase {
 	case Preparing:
-		if c.rounds%resendRounds != 1 {
-			return c, nil
-		}
 		return c, c.each(statuses, func(s Status) (Order, bool) {
-			return Order{Verb: Prepare, Version: c.Version, Map: c.next}, s.Prepared != c.Version
+			due := c.rounds%resendRounds == 1 || !c.accepted[s.Rank]
+			return Order{Verb: Prepare, Version: c.Version, Map: c.next}, due && s.Prepared != c.Version
 		})
 	case Holding:
 		return c, []Order{{Verb: Hold, Rank: holder, Epoch: c.Epoch, Step: c.Step}}
@@ -328,7 +326,7 @@
 		return c
 	}
 	switch {
-	case c.Phase == Undoing && o.Verb == Prepare && (result == Done || result == Begun):
+	case (c.Phase == Undoing || c.Phase == Preparing && o.Version == c.Version) && o.Verb == Prepare && (result == Done || result == Begun):
 		c.accepted = withRank(c.accepted, o.Rank)
 	case c.Phase == Undoing && o.Verb == Prepare && o.Version == c.poison && result == Refused:
 		c.poison += raise
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -21,7 +21,8 @@
 )
 
 const (
-	greetPace   = 400 * time.Millisecond // between greetings of one peer; load reports are good for a few of these
+	greetPace   = 400 * time.Millisecond // between greetings while nothing is sent to targets
+	leastPace   = 15 * time.Millisecond  // between greetings while much is sent; a target gets few requests in it
 	callTimeout = 300 * time.Millisecond // well above a round trip between failure domains
 	forgetAfter = 30 * time.Second       // a peer that was not heard for so long is no longer greeted
 	maxPeers    = 512
@@ -64,6 +65,9 @@
 // Service is the gateway that peers are told of.
 type Service interface {
 	State() dispatch.State
+	// Sending returns a channel that is closed when the next request is about to
+	// be sent to a target.
+	Sending() <-chan struct{}
 	Change(change func(dispatch.State, time.Time) dispatch.State)
 }
 
@@ -106,36 +110,59 @@
 	ctx := p.tomb.Context(context.Background())
 	ticker := time.NewTicker(greetPace)
 	defer ticker.Stop()
+	introduced := true
 	for {
+		sending := p.service.Sending()
+		g := p.greeting(introduced)
 		for _, address := range p.known() {
-			p.tomb.Go(round{peers: p, address: address}.run)
+			p.tomb.Go(round{peers: p, address: address, greeting: g}.run)
 		}
+		pause(ctx, leastPace)
+		introduced = false
 		select {
 		case <-ticker.C:
+			introduced = true
+		case <-sending:
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // round is one greeting of one peer.
 type round struct {
-	peers   *Peers
-	address string
+	peers    *Peers
+	address  string
+	greeting greeting
 }
 
 func (r round) run() error {
 	ctx, cancel := context.WithTimeout(r.peers.tomb.Context(context.Background()), callTimeout)
 	defer cancel()
 	var answer greeting
-	if r.peers.client.Call(ctx, r.address, greetCall, r.peers.greeting(), &answer) == nil {
+	if r.peers.client.Call(ctx, r.address, greetCall, r.greeting, &answer) == nil {
 		r.peers.note(answer)
 	}
 	return nil // a peer that gives no answer is greeted again in the next round
 }
 
-func (p *Peers) greeting() greeting {
-	return greeting{Name: p.name, Address: p.address, Loads: p.service.State().Loads(), Known: p.known()}
+// greeting returns what the gateway tells of itself, and of others where it
+// introduces itself.
+func (p *Peers) greeting(introduced bool) greeting {
+	g := greeting{Name: p.name, Address: p.address, Loads: p.service.State().Loads()}
+	if introduced {
+		g.Known = p.known()
+	}
+	return g
 }
 
 func (p *Peers) greeted(_ context.Context, read func(any) error) (any, error) {
@@ -144,7 +171,7 @@
 		return nil, err
 	}
 	p.note(g)
-	return p.greeting(), nil
+	return p.greeting(len(g.Known) > 0), nil
 }
 
 // note takes what a peer told.
--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -55,7 +55,7 @@
 	ctx, cancel := context.WithTimeout(ctx, a.Deadline.Sub(s.clock()))
 	defer cancel()
 	defer context.AfterFunc(s.aborting, cancel)()
-	d := &delivery{service: s, admission: a, request: r, out: out, ran: refusal.No, after: r.After}
+	d := &delivery{service: s, admission: a, request: r, out: out, ran: refusal.No, after: r.After, arrived: arrived}
 	outcome := d.run(ctx)
 	d.note(outcome, s.clock().Sub(arrived))
 	return outcome
@@ -76,7 +76,11 @@
 	begun   bool
 	after   string   // number of the last event that the caller has
 	failure *failure // the latest answer of a target that failed
-	first   time.Duration
+
+	arrived time.Time
+	first   time.Duration // from the arrival to the answer's first byte
+	latest  time.Time     // when the caller was last sent a part
+	gap     time.Duration // the longest pause between two parts
 }
 
 // failure is a target's own answer that the request failed.
@@ -159,7 +163,9 @@
 	left := d.admission.Deadline.Sub(d.service.clock())
 	dog := newWatchdog(cancel)
 	defer dog.rest()
-	dog.expect(d.patience(left))
+	if patience := d.patience(left); patience > 0 {
+		dog.expect(patience)
+	}
 	reply, err := d.service.targets.Send(ctx, Call{
 		Message: d.request.Message, ID: d.request.ID, Address: d.target.Address, Instance: d.target.ID,
 		Host: d.request.Host, Account: d.admission.Account, Ranked: d.admission.Route.Kind == route.Stream, Priority: d.admission.Priority,
@@ -194,13 +200,14 @@
 	}
 }
 
-// patience returns how long an attempt may stay without a sign of its answer.
+// patience returns how long an attempt may stay without a sign of its answer; 0
+// stands for the request's own deadline.
 func (d *delivery) patience(left time.Duration) time.Duration {
 	if d.admission.Route.Kind == route.Stream {
-		return min(left, firstWait)
+		return firstWait
 	}
 	if !d.admission.Route.Repeatable() || d.runs+1 >= d.admission.Route.Attempts {
-		return left
+		return 0
 	}
 	return left / patiencePer
 }
@@ -236,6 +243,7 @@
 		return end, false
 	case err == io.EOF:
 		d.failure = nil
+		d.timed()
 		return retry.Attempt{}, d.out.Begin(sized(head, len(held))) == nil && d.out.Write(held) == nil
 	case err != nil:
 		d.failed("broken", err)
@@ -304,8 +312,8 @@
 			return false
 		}
 		d.begun = true
-		d.first = d.admission.Deadline.Sub(d.service.clock())
 	}
+	d.timed()
 	if len(whole) > 0 && d.out.Write(whole) != nil {
 		return false
 	}
@@ -313,6 +321,18 @@
 	return true
 }
 
+// timed notes when a part goes to the caller.
+func (d *delivery) timed() {
+	now := d.service.clock()
+	if d.latest.IsZero() {
+		d.first = now.Sub(d.arrived)
+		d.service.meter.Observe("first_part_time", d.first)
+	} else {
+		d.gap = max(d.gap, now.Sub(d.latest))
+	}
+	d.latest = now
+}
+
 func sized(head Head, length int) Head {
 	head.Length = int64(length)
 	return head
@@ -338,5 +358,8 @@
 	d.service.meter.Observe("request_time", took)
 	d.service.journal.Event("request", "request", d.request.ID, "route", d.admission.Route.Name, "account", d.admission.Account,
 		"service", d.admission.Service, "target", d.target.ID, "attempts", len(d.tried), "outcome", kind, "ran", ran,
-		"begun", o.Begun, "took", took, "version", d.admission.Version)
+		"begun", o.Begun, "first", d.first, "gap", d.gap, "took", took, "version", d.admission.Version)
+	if d.gap > 0 {
+		d.service.meter.Observe("longest_gap", d.gap)
+	}
 }
--- a/gateway/serve/service.go
+++ b/gateway/serve/service.go
@@ -28,6 +28,7 @@
 
 	owner    *control.Owner[dispatch.State]
 	idle     control.Signal     // raised when no request is in flight
+	sending  control.Signal     // raised when a request is about to be sent
 	aborting context.Context    // ends when requests in flight are to be given up
 	abort    context.CancelFunc // ends aborting
 }
@@ -128,6 +129,10 @@
 	}
 }
 
+// Sending returns a channel that is closed when the next request is about to be
+// sent to a target.
+func (s *Service) Sending() <-chan struct{} { return s.sending.Wait() }
+
 // Abort gives up the requests in flight. Their callers are told what is known.
 func (s *Service) Abort() { s.abort() }
 
@@ -161,6 +166,9 @@
 			return state, choice{refused: &r}
 		}
 		state, target, refused := state.Choose(a, tried, s.random, now)
+		if refused == nil {
+			s.sending.Raise()
+		}
 		return state, choice{target, refused}
 	})
 	if err != nil {
