Count a sudden shift of demand alone, and measure every 250 ms

Windows of one demand are 0.04 to 0.10 apart (total variation), a shift is 0.35 to 0.5 in its first window.

--- a/core/expert/plan.go
+++ b/core/expert/plan.go
@@ -25,8 +25,14 @@
 	Samples float64   // Samples is how many tokens the load was measured on.
 }
 
+// shift is the distance of a window from the demand before, as total variation,
+// from which on the demand counts as another one. Windows of one demand are
+// within a tenth of each other.
+const shift = 0.2
+
 // WithWindow returns the demand after another window of counts. The newest
-// window weighs as much as all before it, so that drift is followed.
+// window weighs as much as all before it, so that drift is followed; after a
+// sudden shift it counts alone.
 func (d Demand) WithWindow(counts []float64) Demand {
 	total := sum(counts)
 	if total == 0 {
@@ -35,13 +41,26 @@
 	load := make([]float64, len(counts))
 	for e := range counts {
 		load[e] = counts[e] / total
-		if d.Samples > 0 {
-			load[e] = (load[e] + d.Load[e]) / 2
-		}
+	}
+	if d.Samples == 0 || d.distance(load) > shift+math.Sqrt(float64(len(counts))/total) {
+		return Demand{Load: load, Samples: total}
+	}
+	for e := range load {
+		load[e] = (load[e] + d.Load[e]) / 2
 	}
 	return Demand{Load: load, Samples: total + d.Samples/2}
 }
 
+// distance returns the total variation between the demand and other loads. The
+// noise of few samples adds to it.
+func (d Demand) distance(load []float64) float64 {
+	distance := 0.0
+	for e := range load {
+		distance += math.Abs(load[e]-d.Load[e]) / 2
+	}
+	return distance
+}
+
 // noise returns the relative standard error of the load of a rank that has an
 // even share of it.
 func (d Demand) noise(ranks int) float64 {
--- a/steward/lead/demand.go
+++ b/steward/lead/demand.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	window     = 400 * time.Millisecond // counts of so long are one measurement
-	leastKnown = 2                      // measurements from which on demand is planned for
+	window     = 250 * time.Millisecond // counts of so long are one measurement
+	leastKnown = 3                      // measurements from which on demand is planned for
 )
 
 // demand measures which experts requests choose, from the counts of all ranks.
--- a/steward/lead/lead.go
+++ b/steward/lead/lead.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	idlePace   = 400 * time.Millisecond // between measurements; demand shifts within seconds
+	idlePace   = 250 * time.Millisecond // between measurements; demand shifts within seconds
 	activePace = 60 * time.Millisecond  // between rounds while ranks copy; a copy takes tens of milliseconds an expert
 	retryPace  = 15 * time.Millisecond  // between rounds while a pass is held
 	guardPace  = 150 * time.Millisecond // between looks of the steward beside the holder
