--- a/core/switching/coordinator.go
+++ b/core/switching/coordinator.go
@@ -27,8 +27,8 @@
 // Times of a held pass. A leader that paused finds that its window is over, so
 // that it and the guardian beside the holder never act at the same time.
 const (
-	Window = 400 * time.Millisecond // Window is how long after its first Hold a leader may arm ranks.
-	Guard  = 500 * time.Millisecond // Guard is how long a pass is held before the guardian may resolve it.
+	Window = 400 * time.Millisecond // Window is how long a leader may arm ranks after it last asked the guardian.
+	Guard  = 500 * time.Millisecond // Guard is how long after it was last asked the guardian may resolve a held pass.
 )
 
 const (
@@ -149,6 +149,15 @@
 	return c.enter(Undoing)
 }
 
+// WithRenewal returns the coordinator after the guardian answered a question
+// that was asked at a time: until Guard later it leaves the pass to the leader.
+func (c Coordinator) WithRenewal(asked time.Time) Coordinator {
+	if until := asked.Add(Window); (c.Phase == Holding || c.Phase == Arming) && until.After(c.until) {
+		c.until = until
+	}
+	return c
+}
+
 // With returns the coordinator after the ranks said how they are. Statuses of
 // another epoch end the switch: the caller starts anew.
 func (c Coordinator) With(statuses Statuses, now time.Time) Coordinator {
--- a/core/switching/model_test.go
+++ b/core/switching/model_test.go
@@ -163,7 +163,8 @@
 		m.leading = true
 		m.leader = NewCoordinator(m.epoch, len(m.ranks), m.placement(), statuses)
 	}
-	m.lastRound = m.now
+	m.lastRound, m.heldSince = m.now, m.now
+	m.leader = m.leader.WithRenewal(m.now)
 	m.leader = m.round(m.leader, statuses, faulty)
 	if m.leader.Phase == Idle && settledModel(m.ranks) && rapid.Bool().Draw(m.t, "switch") {
 		m.leader = m.leader.WithSwitch(m.placement(), m.placement(), rapid.Uint64Range(0, 1<<12).Draw(m.t, "draw"), statuses)
--- a/steward/lead/guard.go
+++ b/steward/lead/guard.go
@@ -24,6 +24,9 @@
 		l.held = heldPass{epoch: s.Epoch, step: s.Held, since: now}
 		return
 	}
+	if asked := l.ranks.Asked(); asked.After(l.held.since) {
+		l.held.since = asked
+	}
 	if now.Sub(l.held.since) < switching.Guard {
 		return
 	}
--- a/steward/lead/lead.go
+++ b/steward/lead/lead.go
@@ -173,10 +173,14 @@
 		if l.coordinator.Phase == switching.Preparing {
 			return // the copies take a while
 		}
+		asked := l.clock()
 		holder, err := l.ranks.One(ctx, switching.Holder(l.coordinator.Size))
 		if err != nil || holder.Status.Epoch != l.coordinator.Epoch {
 			return
 		}
+		if !holder.Direct {
+			l.coordinator = l.coordinator.WithRenewal(asked)
+		}
 		statuses[holder.Status.Rank] = holder.Status
 	}
 }
--- a/steward/lead/port.go
+++ b/steward/lead/port.go
@@ -11,11 +11,11 @@
 type Observation struct {
 	Group  string // Group names the group of ranks.
 	Status switching.Status
-	Busy   int       // Busy counts the requests that run or wait at the rank.
-	Pace   float64   // Pace is how many times longer than usual the rank's work takes.
-	Counts []uint64  // Counts tells how often requests chose each expert since the rank started, set by set.
-	Lists  [][]int   // Lists are the experts that the rank holds, by set.
-	Taken  time.Time // Taken is when the observation came.
+	Busy   int      // Busy counts the requests that run or wait at the rank.
+	Pace   float64  // Pace is how many times longer than usual the rank's work takes.
+	Counts []uint64 // Counts tells how often requests chose each expert since the rank started, set by set.
+	Lists  [][]int  // Lists are the experts that the rank holds, by set.
+	Direct bool     // Direct: the rank itself told it, not the steward beside it.
 }
 
 // Ranks reaches the ranks of the own group.
@@ -27,6 +27,8 @@
 	One(ctx context.Context, rank int) (Observation, error)
 	// All observes all ranks of a group whose stewards can be reached, by rank.
 	All(ctx context.Context, group string, own Observation) map[int]Observation
+	// Asked returns when another steward last observed the own rank.
+	Asked() time.Time
 	// Order orders one rank.
 	Order(ctx context.Context, o switching.Order) switching.Result
 }
--- a/steward/ranks/ranks.go
+++ b/steward/ranks/ranks.go
@@ -58,18 +58,20 @@
 	engines Engines
 	listing Listing
 	client  *wire.Client
+	clock   func() time.Time
 	address string // of the own target
 	port    string // of all stewards
 
 	mu    sync.Mutex
 	where map[int]string // address of the target by rank; guarded by mu
+	asked time.Time      // when another steward last observed the own rank; guarded by mu
 }
 
 // New returns the ranks as seen by the steward beside the target at address.
 // Stewards listen on one port of their targets' machines.
-func New(address string, port int, engines Engines, listing Listing, client *wire.Client) *Ranks {
+func New(address string, port int, engines Engines, listing Listing, client *wire.Client, clock func() time.Time) *Ranks {
 	return &Ranks{
-		own: engines.Engine(address), engines: engines, listing: listing, client: client, address: address,
+		own: engines.Engine(address), engines: engines, listing: listing, client: client, clock: clock, address: address,
 		port: strconv.Itoa(port), where: map[int]string{},
 	}
 }
@@ -91,9 +93,19 @@
 	if err := read(&empty{}); err != nil {
 		return nil, err
 	}
+	r.mu.Lock()
+	r.asked = r.clock()
+	r.mu.Unlock()
 	return r.own.Observe(ctx)
 }
 
+// Asked returns when another steward last observed the own rank.
+func (r *Ranks) Asked() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asked
+}
+
 func (r *Ranks) carryOut(ctx context.Context, read func(any) error) (any, error) {
 	var o switching.Order
 	if err := read(&o); err != nil {
@@ -140,7 +152,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
 	defer cancel()
-	return r.engines.Engine(address).Report(ctx)
+	observation, err := r.engines.Engine(address).Report(ctx)
+	observation.Direct = true
+	return observation, err
 }
 
 // at returns the address of a rank's target, empty where it is not known.
