--- /dev/null
+++ b/gateway/peers/peers_test.go
@@ -0,0 +1,139 @@
+package peers_test
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"hornbeamtray/adapter/wire"
+	"hornbeamtray/core/dispatch"
+	"hornbeamtray/core/roster"
+	"hornbeamtray/gateway/follow"
+	"hornbeamtray/gateway/peers"
+)
+
+// service is a gateway's state that a test changes.
+type service struct {
+	mu    sync.Mutex
+	state dispatch.State // guarded by mu
+	sent  chan struct{}  // guarded by mu
+}
+
+func (s *service) State() dispatch.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state
+}
+
+func (s *service) Sending() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent
+}
+
+func (s *service) Change(change func(dispatch.State, time.Time) dispatch.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = change(s.state, time.Now())
+}
+
+// send has the gateway send one request.
+func (s *service) send(t *testing.T) {
+	t.Helper()
+	s.Change(func(state dispatch.State, now time.Time) dispatch.State {
+		state, _, refused := state.Choose(dispatch.Admission{Service: "s"}, nil, first{}, now)
+		if refused != nil {
+			t.Error(refused)
+		}
+		return state
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.sent)
+	s.sent = make(chan struct{})
+}
+
+type first struct{}
+
+func (first) IntN(int) int { return 0 }
+
+type gateway struct {
+	service *service
+	mirror  *follow.Mirror
+	peers   *peers.Peers
+	address string
+}
+
+// start starts a gateway that knows one seed.
+func start(t *testing.T, name, seed string) gateway {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := dispatch.New(name, "d", dispatch.Bounds{}).WithNews(dispatch.News{
+		Targets: []roster.Target{{ID: "a", Service: "s", Slots: 4, Revision: 1}, {ID: "b", Service: "s", Slots: 4, Revision: 2}},
+	}, time.Now())
+	g := gateway{service: &service{state: state, sent: make(chan struct{})}, mirror: follow.NewMirror(), address: listener.Addr().String()}
+	client := wire.NewClient()
+	seeds := func() []string {
+		if seed == "" {
+			return nil
+		}
+		return []string{seed, "127.0.0.1:1"} // one seed is down
+	}
+	g.peers = peers.New(name, g.address, seeds, client, g.service, g.mirror, time.Now)
+	server := wire.NewHandlersServer(listener, g.peers.Handlers())
+	t.Cleanup(func() {
+		_ = server.Close()
+		_ = g.peers.Close()
+		_ = client.Close()
+	})
+	return g
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatal("it never came about that " + what)
+}
+
+// chosen is the target that a gateway would choose next.
+func chosen(g gateway) string {
+	_, target, _ := g.service.State().Choose(dispatch.Admission{Service: "s"}, nil, first{}, time.Now())
+	return target.ID
+}
+
+// TestLoads has gateways that know one of them only hear of each other's sends.
+func TestLoads(t *testing.T) {
+	one := start(t, "one", "")
+	two, three := start(t, "two", one.address), start(t, "three", one.address)
+	two.service.send(t) // to a, the first of equal ones
+	eventually(t, "the seed knows of the send", func() bool { return chosen(one) == "b" })
+	eventually(t, "a gateway that the seed introduced knows of the send", func() bool { return chosen(three) == "b" })
+}
+
+func TestRelay(t *testing.T) {
+	one := start(t, "one", "")
+	two := start(t, "two", one.address)
+	if _, found := two.peers.Relayed(t.Context(), 0); found {
+		t.Error("a peer relayed though it never listed the store")
+	}
+	read := time.Now().Add(-time.Second)
+	one.mirror.Take(follow.Batch{Whole: true, Revision: 7, At: read, Items: []follow.Item{
+		{Key: "x", Value: []byte("1"), Revision: 5}, {Key: "y", Value: []byte("2"), Revision: 7},
+	}})
+	batch, found := two.peers.Relayed(t.Context(), 5)
+	if !found || batch.Revision != 7 || len(batch.Items) != 1 || batch.Items[0].Key != "y" {
+		t.Errorf("relayed is %+v, %t", batch, found)
+	}
+	if batch.At.After(read) {
+		t.Errorf("what was read at %v is relayed as of %v", read, batch.At)
+	}
+}
