Forget ejections when a lost group is back

When a target of a lost service answers again, the ejections of its targets end. Tables for outages and for room come with it.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -151,6 +151,18 @@
 	}
 	s.outages = outages
 	s.Trail = s.Trail.With(now, "service "+service, "a target answered", "lost", "serving")
+	return s.withoutEjections(service)
+}
+
+// withoutEjections returns the state with no target of a service ejected: while
+// its group was lost, attempts failed through no fault of each.
+func (s State) withoutEjections(service string) State {
+	for _, t := range s.Roster.Targets() {
+		if view, found := s.views.Get(t.ID); found && t.Service == service {
+			view.Attempts = eject.Record{}
+			s.views = s.views.Set(t.ID, view)
+		}
+	}
 	return s
 }
 
--- a/core/dispatch/state_test.go
+++ b/core/dispatch/state_test.go
@@ -255,3 +255,56 @@
 		}
 	}
 }
+
+// TestOutage has a group lost and back: meanwhile a request tries it seldom, and
+// what failed because of it ejects nobody.
+func TestOutage(t *testing.T) {
+	_, a, _ := state().Admit(dispatch.Request{Host: "h", Path: "/open/"}, 0, at(0))
+	s := state()
+	for range 3 {
+		s, _, _ = s.Choose(a, []string{"b"}, fixed{}, at(0))
+		s = s.WithAttempt("a", true, at(0))
+	}
+	s = s.WithOutage("s", at(0))
+	tries := 0
+	for ms := 0; ms < 1500; ms += 10 {
+		next, _, refused := s.Choose(a, nil, fixed{}, at(ms))
+		if s = next; refused == nil {
+			tries++
+			s = s.WithAttempt("b", false, at(ms))
+		}
+	}
+	if tries < 5 || tries > 10 {
+		t.Errorf("a lost group was tried %d times in 1.5 s, want one try in 150 ms", tries)
+	}
+	s = s.WithService("s", at(100))
+	if s.Lost("s") || s.View("a").Attempts.Ejected(at(100)) {
+		t.Error("the service is lost or a target ejected after the group is back")
+	}
+	if _, got, refused := s.Choose(a, []string{"b"}, fixed{}, at(100)); refused != nil || got.ID != "a" {
+		t.Errorf("chosen is %q, %v", got.ID, refused)
+	}
+}
+
+// TestRoom keeps the queue of a full target for requests that can be on time.
+func TestRoom(t *testing.T) {
+	_, fresh, _ := state().Admit(dispatch.Request{Host: "h", Path: "/open/"}, 0, at(0))
+	tests := []struct {
+		name string
+		a    dispatch.Admission
+		load int
+		want bool
+	}{
+		{"fresh, slots free", fresh, 1, true},
+		{"fresh, slots full", fresh, 3, true},
+		{"fresh, queue full", fresh, 4, false},
+		{"late, slots free", fresh.WithLate(), 1, true},
+		{"late, slots full", fresh.WithLate(), 2, false},
+	}
+	for _, tt := range tests {
+		s := state().WithPeer("p", map[string]int{"a": tt.load}, at(0))
+		if _, _, refused := s.Choose(tt.a, []string{"b"}, fixed{}, at(0)); (refused == nil) != tt.want {
+			t.Errorf("%s: refusal is %v, want room %t", tt.name, refused, tt.want)
+		}
+	}
+}
