--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -13,6 +13,7 @@
 const (
 	queued       = 2                      // requests that may wait at a target: one begins within a tenth of a second or so
 	probePace    = 150 * time.Millisecond // between attempts at a service whose group is lost
+	coldPenalty  = 2                      // requests by which a cold target counts as fuller
 	farPenalty   = 1                      // requests by which a target of another failure domain counts as fuller
 	peerSilence  = 3 * time.Second        // a peer's counts are dropped after this
 	coldWindow   = time.Second            // the bound on cold targets counts the requests of any such span
@@ -94,6 +95,9 @@
 		if t.Domain != s.Domain {
 			load += farPenalty
 		}
+		if now.Before(t.Cold) {
+			load += coldPenalty
+		}
 		candidates = append(candidates, routing.Candidate{Target: t.ID, Load: load, Limit: max(1, t.Slots)})
 	}
 	chosen, found := routing.Least(candidates, random)
@@ -158,14 +162,22 @@
 // its group was lost, attempts failed through no fault of each.
 func (s State) withoutEjections(service string) State {
 	for _, t := range s.Roster.Targets() {
-		if view, found := s.views.Get(t.ID); found && t.Service == service {
-			view.Attempts = eject.Record{}
-			s.views = s.views.Set(t.ID, view)
+		if t.Service == service {
+			s = s.withoutAttempts(t.ID)
 		}
 	}
 	return s
 }
 
+// withoutAttempts returns the state in which no attempt at a target counts.
+func (s State) withoutAttempts(id string) State {
+	if view, found := s.views.Get(id); found {
+		view.Attempts = eject.Record{}
+		s.views = s.views.Set(id, view)
+	}
+	return s
+}
+
 // bearsCold reports whether the gateway's share of what a cold target bears
 // allows one more request. Any target may have turned cold unseen, so the bound
 // holds for all targets of a service that can be cold.
--- a/core/dispatch/news.go
+++ b/core/dispatch/news.go
@@ -39,6 +39,9 @@
 	r := s.Roster
 	ids, domains := map[string]bool{}, map[string]bool{}
 	for _, t := range n.Targets {
+		if known, found := r.Target(t.ID); found && known.Born != t.Born && t.Revision > known.Revision {
+			s = s.withoutAttempts(t.ID) // a new process under a name that another had
+		}
 		r = r.WithTarget(t)
 		ids[t.ID] = true
 	}
--- a/core/dispatch/state_test.go
+++ b/core/dispatch/state_test.go
@@ -142,6 +142,8 @@
 		{"all tried", state(), []string{"a", "b"}, 0, ""},
 		{"full", load(load(state(), "a", 4), "b", 4), nil, 0, ""},
 		{"counts of a silent peer are dropped", load(load(state(), "a", 4), "b", 4), nil, 3100, "a"},
+		{"cold", state().WithNews(dispatch.News{Targets: []roster.Target{{ID: "a", Service: "s", Domain: "d1", Slots: 2, Cold: at(500), Revision: 3}}}, at(0)), nil, 0, "b"},
+		{"warm again", state().WithNews(dispatch.News{Targets: []roster.Target{{ID: "a", Service: "s", Domain: "d1", Slots: 2, Cold: at(500), Revision: 3}}}, at(0)), nil, 600, "a"},
 		{"leaving", state().WithNews(dispatch.News{Targets: []roster.Target{{ID: "a", Service: "s", Leaving: true, Revision: 3}}}, at(0)), nil, 0, "b"},
 		{"evacuated", state().WithNews(dispatch.News{Evacuations: []dispatch.Evacuation{{Domain: "d1", Out: true, Revision: 3}}}, at(0)), nil, 0, "b"},
 	}
@@ -222,6 +224,20 @@
 	}
 }
 
+// TestReborn gives work to a new process under a name that an ejected one had.
+func TestReborn(t *testing.T) {
+	s := state()
+	_, a, _ := s.Admit(dispatch.Request{Host: "h", Path: "/open/"}, 0, at(0))
+	for range 3 {
+		s, _, _ = s.Choose(a, []string{"b"}, fixed{}, at(0))
+		s = s.WithAttempt("a", true, at(0))
+	}
+	s = s.WithNews(dispatch.News{Targets: []roster.Target{{ID: "a", Service: "s", Domain: "d1", Slots: 2, Born: 7, Revision: 3}}}, at(0))
+	if s.View("a").Attempts.Ejected(at(0)) {
+		t.Error("the new process is ejected for what the old one failed")
+	}
+}
+
 func TestBudget(t *testing.T) {
 	s := state()
 	retries := 0
--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -226,7 +226,7 @@
 		d.service.works(d.admission.Service)
 		return d.stream(reply, dog)
 	default:
-		return d.piece(reply, left)
+		return d.piece(reply)
 	}
 }
 
@@ -252,7 +252,7 @@
 
 // piece delivers an answer that comes in one piece. It is held until it is
 // whole, so that one that breaks off can be fetched elsewhere.
-func (d *delivery) piece(reply Reply, _ time.Duration) (retry.Attempt, bool) {
+func (d *delivery) piece(reply Reply) (retry.Attempt, bool) {
 	head := reply.Head()
 	held := make([]byte, 0, min(maxHeld, max(512, head.Length+1)))
 	var err error
--- a/operator/command/command.go
+++ b/operator/command/command.go
@@ -32,7 +32,7 @@
 
 // Main runs the program and returns its exit code.
 func Main(arguments []string) int {
-	kind := &cli.StringFlag{Name: "as", Value: "configuration", Usage: "what the file is: configuration, entry or agent"}
+	kind := &cli.StringFlag{Name: "as", Value: "configuration", Usage: "what the file is: configuration, entry, agent, gateway or steward"}
 	subject := &cli.StringFlag{Name: "subject", Usage: "print only changes whose subject begins with `TEXT`"}
 	return launch.Run(&cli.Command{
 		Name:  "tray",
@@ -62,8 +62,12 @@
 		_, err = document.Load(path, document.ParseEntrySettings)
 	case "agent":
 		_, err = document.Load(path, document.ParseAgentSettings)
+	case "gateway":
+		_, err = document.Load(path, document.ParseGatewaySettings)
+	case "steward":
+		_, err = document.Load(path, document.ParseStewardSettings)
 	default:
-		return launch.Misused("--as %q does not exist; use configuration, entry or agent", c.String("as"))
+		return launch.Misused("--as %q does not exist; use configuration, entry, agent, gateway or steward", c.String("as"))
 	}
 	var faults document.Faults
 	if errors.As(err, &faults) {
