Pass on proof between gateways; watch for a third of the proof's bound

Now greetings carry the revision and the age of what a gateway knows, and a gateway takes newer knowledge at once, as of when it was read. A watch lasts a third of the bound on the proof, so that other bounds fit, too.

Ruled out (trial): leaving reads to peers whose proof is newer than 0.6 to 1.1 s. A watch without news proves what was known when it began, a second ago, so that nobody was spared; a longer bound would use up the 2 s in which a configuration is to apply.

--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	watchTime    = time.Second            // a watch without news ends after this, so that proof is never much older
 	pace         = 700 * time.Millisecond // between reads that brought news; calls are priced, and a drain allows 2 s
+	watchParts   = 3                      // a watch lasts one of so many parts of the proof's bound: proof is up to two watches old
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 500 * time.Millisecond // the store's return is to be noticed well within a second
 	relayPace    = 400 * time.Millisecond // between questions to peers while the store can't be read
@@ -72,27 +72,49 @@
 	Event(event string, pairs ...any)
 }
 
+// Inbox takes what was read, from the store or from peers. It bears concurrent use.
+type Inbox struct {
+	mirror  *Mirror
+	control Control
+	decode  Decode
+	clock   func() time.Time
+}
+
+// NewInbox returns an inbox that keeps batches in a mirror and hands their news
+// to the control goroutine.
+func NewInbox(mirror *Mirror, control Control, decode Decode, clock func() time.Time) *Inbox {
+	return &Inbox{mirror: mirror, control: control, decode: decode, clock: clock}
+}
+
+// Mirror returns what was taken so far.
+func (i *Inbox) Mirror() *Mirror { return i.mirror }
+
+// Take takes a batch.
+func (i *Inbox) Take(batch Batch) {
+	i.mirror.Take(batch)
+	news := i.decode(batch, i.clock())
+	i.control.Change(func(s dispatch.State, now time.Time) dispatch.State {
+		return s.WithNews(news, now)
+	})
+}
+
 // Follower follows the platform until Close.
 type Follower struct {
 	tomb    tomb.Tomb
 	store   Store
 	peers   Peers
-	control Control
-	decode  Decode
+	inbox   *Inbox
 	journal Journal
-	clock   func() time.Time
-	mirror  *Mirror
+	watch   time.Duration // how long a watch waits for news
 
 	lost    bool          // owned by run
 	backoff time.Duration // owned by run
 	relayed time.Time     // owned by run; when peers were last asked
 }
 
-// New starts following.
-func New(store Store, peers Peers, mirror *Mirror, control Control, decode Decode, journal Journal, clock func() time.Time) *Follower {
-	f := &Follower{
-		store: store, peers: peers, mirror: mirror, control: control, decode: decode, journal: journal, clock: clock, backoff: firstBackoff,
-	}
+// New starts following, often enough that proof is never as old as a bound.
+func New(store Store, peers Peers, inbox *Inbox, journal Journal, proof time.Duration) *Follower {
+	f := &Follower{store: store, peers: peers, inbox: inbox, journal: journal, watch: proof / watchParts, backoff: firstBackoff}
 	f.tomb.Go(f.run)
 	return f
 }
@@ -111,7 +133,7 @@
 		switch {
 		case ctx.Err() != nil:
 		case errors.Is(err, ErrCompacted):
-			f.journal.Event("store history dropped", "revision", f.mirror.Revision())
+			f.journal.Event("store history dropped", "revision", f.inbox.mirror.Revision())
 			whole = true
 			f.pause(ctx, firstBackoff)
 		case err != nil:
@@ -119,7 +141,7 @@
 		default:
 			whole = false
 			f.regained()
-			f.take(batch)
+			f.inbox.Take(batch)
 			if len(batch.Items) > 0 {
 				f.pause(ctx, pace)
 			}
@@ -132,22 +154,22 @@
 	if whole {
 		return f.store.List(ctx)
 	}
-	return f.store.Watch(ctx, f.mirror.Revision(), watchTime)
+	return f.store.Watch(ctx, f.inbox.mirror.Revision(), f.watch)
 }
 
 // failed notes that the store can't be read, and asks peers that may still read it.
 func (f *Follower) failed(ctx context.Context, err error) {
 	if !f.lost {
 		f.lost = true
-		f.journal.Event("store lost", "error", err.Error(), "revision", f.mirror.Revision())
-		f.control.Change(func(s dispatch.State, now time.Time) dispatch.State {
+		f.journal.Event("store lost", "error", err.Error(), "revision", f.inbox.mirror.Revision())
+		f.inbox.control.Change(func(s dispatch.State, now time.Time) dispatch.State {
 			return s.WithStore(false, "it can't be read", now)
 		})
 	}
-	if now := f.clock(); now.Sub(f.relayed) >= relayPace {
+	if now := f.inbox.clock(); now.Sub(f.relayed) >= relayPace {
 		f.relayed = now
-		if batch, found := f.peers.Relayed(ctx, f.mirror.Revision()); found {
-			f.take(batch)
+		if batch, found := f.peers.Relayed(ctx, f.inbox.mirror.Revision()); found {
+			f.inbox.Take(batch)
 		}
 	}
 	f.pause(ctx, f.backoff/2+time.Duration(rand.Float64()*float64(f.backoff/2)))
@@ -160,21 +182,12 @@
 		return
 	}
 	f.lost = false
-	f.journal.Event("store regained", "revision", f.mirror.Revision())
-	f.control.Change(func(s dispatch.State, now time.Time) dispatch.State {
+	f.journal.Event("store regained", "revision", f.inbox.mirror.Revision())
+	f.inbox.control.Change(func(s dispatch.State, now time.Time) dispatch.State {
 		return s.WithStore(true, "it was read again", now)
 	})
 }
 
-// take keeps a batch for peers and hands it to the control goroutine.
-func (f *Follower) take(batch Batch) {
-	f.mirror.Take(batch)
-	news := f.decode(batch, f.clock())
-	f.control.Change(func(s dispatch.State, now time.Time) dispatch.State {
-		return s.WithNews(news, now)
-	})
-}
-
 func (f *Follower) pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/gateway/follow/follow_test.go
+++ b/gateway/follow/follow_test.go
@@ -144,7 +144,7 @@
 func follower(s *store, p follow.Peers) (*follow.Follower, *control, *follow.Mirror) {
 	c := &control{state: dispatch.New("g", "d", dispatch.Bounds{Proof: 4400 * time.Millisecond})}
 	mirror := follow.NewMirror()
-	return follow.New(s, p, mirror, c, decode, quiet{}, time.Now), c, mirror
+	return follow.New(s, p, follow.NewInbox(mirror, c, decode, time.Now), quiet{}, 4400*time.Millisecond), c, mirror
 }
 
 func serving(c *control) int { return len(c.get().Roster.Serving("s", time.Now())) }
--- a/gateway/follow/mirror.go
+++ b/gateway/follow/mirror.go
@@ -31,6 +31,21 @@
 	return m.revision
 }
 
+// Proof returns the revision up to which all is known, when the read that proved
+// it began, and whether everything was ever listed.
+func (m *Mirror) Proof() (revision uint64, at time.Time, complete bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision, m.at, m.complete
+}
+
+// At returns when the latest read began.
+func (m *Mirror) At() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.at
+}
+
 // Take adds what a read brought.
 func (m *Mirror) Take(batch Batch) {
 	m.mu.Lock()
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -40,6 +40,10 @@
 	Address string         `json:"address"`
 	Loads   map[string]int `json:"loads"`           // requests in flight by target
 	Known   []string       `json:"known,omitempty"` // addresses of other gateways
+
+	Complete bool          `json:"complete"` // the gateway knows all that is published
+	Revision uint64        `json:"revision"` // up to which it does
+	Age      time.Duration `json:"age"`      // since the read that proved it began
 }
 
 // question asks for what changed after a revision.
@@ -79,7 +83,7 @@
 	seeds   func() []string
 	client  *wire.Client
 	service Service
-	mirror  *follow.Mirror
+	inbox   *follow.Inbox
 	clock   func() time.Time
 
 	mu    sync.Mutex
@@ -87,9 +91,9 @@
 }
 
 // New greets peers until Close. The seeds are read anew for each round.
-func New(name, address string, seeds func() []string, client *wire.Client, service Service, mirror *follow.Mirror, clock func() time.Time) *Peers {
+func New(name, address string, seeds func() []string, client *wire.Client, service Service, inbox *follow.Inbox, clock func() time.Time) *Peers {
 	p := &Peers{
-		name: name, address: address, seeds: seeds, client: client, service: service, mirror: mirror, clock: clock, heard: map[string]time.Time{},
+		name: name, address: address, seeds: seeds, client: client, service: service, inbox: inbox, clock: clock, heard: map[string]time.Time{},
 	}
 	p.tomb.Go(p.run)
 	return p
@@ -148,9 +152,11 @@
 func (r round) run() error {
 	ctx, cancel := context.WithTimeout(r.peers.tomb.Context(context.Background()), callTimeout)
 	defer cancel()
+	asked := r.peers.clock()
 	var answer greeting
 	if r.peers.client.Call(ctx, r.address, greetCall, r.greeting, &answer) == nil {
 		r.peers.note(answer)
+		r.peers.learn(ctx, r.address, answer, asked)
 	}
 	return nil // a peer that gives no answer is greeted again in the next round
 }
@@ -159,6 +165,8 @@
 // introduces itself.
 func (p *Peers) greeting(introduced bool) greeting {
 	g := greeting{Name: p.name, Address: p.address, Loads: p.service.State().Loads()}
+	revision, at, complete := p.inbox.Mirror().Proof()
+	g.Revision, g.Age, g.Complete = revision, p.clock().Sub(at), complete
 	if introduced {
 		g.Known = p.known()
 	}
@@ -194,6 +202,23 @@
 	})
 }
 
+// learn takes what a peer has read of the platform since the last own read. Its
+// age counts from before the question, so that it is never taken for newer than
+// it is.
+func (p *Peers) learn(ctx context.Context, address string, g greeting, asked time.Time) {
+	revision, at, _ := p.inbox.Mirror().Proof()
+	proved := asked.Add(-g.Age)
+	switch {
+	case !g.Complete || !proved.After(at) || g.Revision < revision:
+	case g.Revision == revision:
+		p.inbox.Take(follow.Batch{Revision: revision, At: proved})
+	default:
+		if batch, found := p.ask(ctx, address, revision); found {
+			p.inbox.Take(batch)
+		}
+	}
+}
+
 // known returns the addresses of other gateways, sorted.
 func (p *Peers) known() []string {
 	p.mu.Lock()
@@ -220,7 +245,7 @@
 	if err := read(&q); err != nil {
 		return nil, err
 	}
-	batch, complete := p.mirror.Since(q.After)
+	batch, complete := p.inbox.Mirror().Since(q.After)
 	answer := relayed{Complete: complete, Revision: batch.Revision, Age: p.clock().Sub(batch.At)}
 	for _, it := range batch.Items {
 		answer.Items = append(answer.Items, item(it))
@@ -259,15 +284,22 @@
 }
 
 func (a ask) run() error {
-	asked := a.peers.clock()
-	var answer relayed
-	var batch follow.Batch
-	if err := a.peers.client.Call(a.ctx, a.address, relayCall, question{After: a.after}, &answer); err == nil && answer.Complete {
-		batch = follow.Batch{Revision: answer.Revision, At: asked.Add(-answer.Age)}
-		for _, it := range answer.Items {
-			batch.Items = append(batch.Items, follow.Item(it))
-		}
-	}
+	batch, _ := a.peers.ask(a.ctx, a.address, a.after)
 	a.answers <- batch
 	return nil
 }
+
+// ask asks one peer for what changed after a revision, and reports whether it
+// knows everything up to its own.
+func (p *Peers) ask(ctx context.Context, address string, after uint64) (follow.Batch, bool) {
+	asked := p.clock()
+	var answer relayed
+	if err := p.client.Call(ctx, address, relayCall, question{After: after}, &answer); err != nil || !answer.Complete {
+		return follow.Batch{}, false // another peer, or the store, may know more
+	}
+	batch := follow.Batch{Revision: answer.Revision, At: asked.Add(-answer.Age)}
+	for _, it := range answer.Items {
+		batch.Items = append(batch.Items, follow.Item(it))
+	}
+	return batch, true
+}
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -83,7 +83,7 @@
 		}
 		return []string{seed, "127.0.0.1:1"} // one seed is down
 	}
-	g.peers = peers.New(name, g.address, seeds, client, g.service, g.mirror, time.Now)
+	g.peers = peers.New(name, g.address, seeds, client, g.service, follow.NewInbox(g.mirror, g.service, decode, time.Now), time.Now)
 	server := wire.NewHandlersServer(listener, g.peers.Handlers())
 	t.Cleanup(func() {
 		_ = server.Close()
@@ -93,6 +93,10 @@
 	return g
 }
 
+func decode(batch follow.Batch, _ time.Time) dispatch.News {
+	return dispatch.News{Revision: batch.Revision, At: batch.At}
+}
+
 // eventually waits until a condition holds.
 func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
@@ -137,3 +141,21 @@
 		t.Errorf("what was read at %v is relayed as of %v", read, batch.At)
 	}
 }
+
+// TestLearn has one gateway read the store for others.
+func TestLearn(t *testing.T) {
+	one := start(t, "one", "")
+	two := start(t, "two", one.address)
+	read := time.Now()
+	one.mirror.Take(follow.Batch{Whole: true, Revision: 7, At: read, Items: []follow.Item{{Key: "x", Revision: 7}}})
+	eventually(t, "the other gateway has the item", func() bool { return two.mirror.Revision() == 7 })
+	if at := two.mirror.At(); at.After(read) || !two.service.State().Proved.Equal(at) {
+		t.Errorf("what was read at %v counts as of %v, proved %v", read, at, two.service.State().Proved)
+	}
+	again := time.Now()
+	one.mirror.Take(follow.Batch{Revision: 7, At: again})
+	eventually(t, "the other gateway has the newer proof", func() bool { return two.mirror.At().After(read) })
+	if two.mirror.At().After(again) {
+		t.Error("the proof is taken for newer than it is")
+	}
+}
