--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -18,7 +18,7 @@
 
 const (
 	pace         = 700 * time.Millisecond // between reads that brought news; calls are priced, and a drain allows 2 s
-	watchParts   = 3                      // a watch lasts one of so many parts of the proof's bound: proof is up to two watches old
+	watchParts   = 6                      // a watch lasts one of so many parts of the bound on proof, which is up to two watches old
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 500 * time.Millisecond // the store's return is to be noticed well within a second
 	relayPace    = 400 * time.Millisecond // between questions to peers while the store can't be read
