--- a/core/switching/model_test.go
+++ b/core/switching/model_test.go
@@ -210,9 +210,28 @@
 	m.guardian = m.round(m.guardian, statuses, faulty)
 }
 
+// absence freezes the leader for long enough that the guardian begins to act,
+// and wakes it at any moment of that.
+func (m *model) absence(faulty bool) {
+	m.frozen = true
+	m.guard(faulty)
+	m.now = m.now.Add(Guard + time.Millisecond)
+	m.repeat("guard rounds", 8, func() { m.guard(faulty) })
+	m.repeat("passes", 3, m.pass)
+	m.frozen = false
+	m.repeat("leader rounds", 4, func() { m.lead(faulty) })
+	m.repeat("passes", 3, m.pass)
+}
+
+func (m *model) repeat(what string, most int, f func()) {
+	for range rapid.IntRange(0, most).Draw(m.t, what) {
+		f()
+	}
+}
+
 func (m *model) act(faulty bool) {
-	action := rapid.SampledFrom([]string{"lead", "lead", "lead", "guard", "pass", "copy", "wait", "late", "freeze", "kill", "epoch"}).Draw(m.t, "action")
-	if !faulty && (action == "freeze" || action == "kill" || action == "epoch") {
+	action := rapid.SampledFrom([]string{"lead", "lead", "lead", "guard", "pass", "copy", "wait", "late", "freeze", "absence", "kill", "epoch"}).Draw(m.t, "action")
+	if !faulty && (action == "freeze" || action == "absence" || action == "kill" || action == "epoch") {
 		action = "lead"
 	}
 	switch action {
@@ -235,6 +254,8 @@
 		}
 	case "freeze":
 		m.frozen = !m.frozen
+	case "absence":
+		m.absence(faulty)
 	case "kill":
 		m.leading = false
 	case "epoch":
