Keep one pause, and drop what nothing reads

The wait for a time or the end of a context stood in launch, follow, peers, lead and entry/serve; clock.Pause is the one copy now (the watchers and the agents still have theirs). Fields of routes, services and engines that no decision reads are gone from the core and the adapter. At most 8 idle connections are kept to a target: a plain service takes 100 from all gateways together.

--- a/adapter/launch/launch.go
+++ b/adapter/launch/launch.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
@@ -89,16 +88,6 @@
 	<-ctx.Done()
 }
 
-// Pause waits for d or the end of ctx.
-func Pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // misuse marks an error of the command line.
 type misuse struct{ error }
 
--- a/adapter/pool/pool.go
+++ b/adapter/pool/pool.go
@@ -25,7 +25,7 @@
 	dialTimeout = 700 * time.Millisecond // a lost opening packet is sent again after a second; another target is faster
 	idleTimeout = 4 * time.Second        // for targets that state no timeout of their own
 	idleMargin  = time.Second            // a kept connection is given up so long before its target's timeout
-	keptMost    = 24                     // idle connections kept to one target
+	keptMost    = 8                      // idle connections kept to one target, which bounds those of all gateways together
 	userTimeout = 1500                   // milliseconds that sent bytes may stay without acknowledgement
 	readBuffer  = 4 << 10
 )
@@ -69,7 +69,6 @@
 	raw     net.Conn
 	reader  *bufio.Reader
 	until   time.Time // when it is no longer used
-	used    bool      // used: it has carried a request before
 }
 
 // Get returns a kept connection or a new one. An error means that there is none
@@ -120,7 +119,6 @@
 		timeout = stated - idleMargin
 	}
 	c.until = time.Now().Add(timeout)
-	c.used = true
 	p := c.pool
 	p.mu.Lock()
 	kept := !p.closed && timeout > 0 && len(p.idle[c.address]) < keptMost
@@ -154,7 +152,7 @@
 // Reader returns the buffered reader of the connection.
 func (c *Conn) Reader() *bufio.Reader { return c.reader }
 
-// Quiet reports whether no byte waits on the connection and it is open.
+// quiet reports whether no byte waits on the connection and it is open.
 func (c *Conn) quiet() bool {
 	if c.reader.Buffered() > 0 {
 		return false
--- a/agent/command/command.go
+++ b/agent/command/command.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 
+	"hornbeamtray/adapter/clock"
 	"hornbeamtray/adapter/document"
 	"hornbeamtray/adapter/journal"
 	"hornbeamtray/adapter/launch"
@@ -73,7 +74,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	service.Leave("asked to stop")
-	launch.Pause(ctx, time.Duration(settings.Linger))
+	clock.Pause(ctx, time.Duration(settings.Linger))
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(settings.Drain))
 	defer cancel()
 	if err := service.Drain(ctx); err != nil {
--- a/core/route/values.go
+++ b/core/route/values.go
@@ -26,7 +26,6 @@
 	Kind      Kind
 	Timeout   time.Duration // Timeout bounds how long a caller is kept waiting.
 	Goal      time.Duration // Goal is when an answer, or a stream's first event, is on time.
-	Gap       time.Duration // Gap is the longest pause between events that is on time.
 	Priority  int           // Priority orders requests; 0 goes first.
 	Attempts  int           // Attempts bounds the targets that one request may be sent to.
 	Public    bool          // Public requests carry no key.
@@ -59,33 +58,21 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
-// Engine is what operators declare of a service's model engines.
+// Engine is what operators declare of a service's model engines. It is empty
+// for engines without experts.
 type Engine struct {
-	Slots      int           // Slots bounds the requests that one engine batches.
-	Step       time.Duration // Step is the least time of one token step.
-	PerRequest time.Duration // PerRequest is added to a step for each request that writes.
-	Stride     int           // Stride counts the steps of one pass.
-	Chunk      int           // Chunk bounds the prompt tokens read in one step.
-	ReadRate   float64       // ReadRate counts the prompt tokens read in a second.
-	Tokens     int           // Tokens bounds the tokens that an engine's memory holds.
-	Prompt     int           // Prompt is the usual length of a prompt, in tokens.
-	Answer     int           // Answer is the usual length of an answer, in tokens.
-
-	Layers       int     // Layers counts the sets of layers that are placed alike; 0 for an engine without experts.
-	Experts      int     // Experts counts the experts of one set.
-	Places       int     // Places bounds the experts of one set on one rank.
-	Spare        int     // Spare bounds the experts new to one rank and set in one map.
-	ExpertMB     float64 // ExpertMB is the size of one expert in megabytes.
-	ExpertWeight float64 // ExpertWeight is the part of a step's work that experts do.
+	Layers  int // Layers counts the sets of layers that are placed alike.
+	Experts int // Experts counts the experts of one set.
+	Places  int // Places bounds the experts of one set on one rank.
+	Spare   int // Spare bounds the experts new to one rank and set in one map.
 }
 
 // Service is something that routes lead to.
 type Service struct {
-	Name        string
-	Connections int           // Connections bounds those to one target from all callers; 0 for no bound.
-	ColdRate    float64       // ColdRate counts the requests a second that a cold target bears; 0 for no bound.
-	Cold        time.Duration // Cold is how long a target stays cold after its start.
-	Engine      Engine        // Engine is empty for a plain service.
+	Name     string
+	ColdRate float64       // ColdRate counts the requests a second that a cold target bears; 0 for no bound.
+	Cold     time.Duration // Cold is how long a target stays cold after its start.
+	Engine   Engine        // Engine is empty for a plain service.
 }
 
 // Account is a client account.
@@ -97,6 +84,5 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	Header int // Header bounds a request's head, in bytes.
-	Body   int // Body bounds a request's body, in bytes.
+	Body int // Body bounds a request's body, in bytes.
 }
--- a/entry/command/command.go
+++ b/entry/command/command.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"hornbeamtray/adapter/clock"
 	"hornbeamtray/adapter/document"
 	"hornbeamtray/adapter/journal"
 	"hornbeamtray/adapter/launch"
@@ -75,7 +76,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	service.Retire("asked to stop")
-	launch.Pause(ctx, time.Duration(settings.Linger))
+	clock.Pause(ctx, time.Duration(settings.Linger))
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(settings.Drain))
 	defer cancel()
 	drained := service.Drain(ctx)
--- a/entry/serve/service.go
+++ b/entry/serve/service.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 
+	"hornbeamtray/adapter/clock"
 	"hornbeamtray/adapter/control"
 	"hornbeamtray/core/entry"
 	"hornbeamtray/core/fleet"
@@ -309,14 +310,7 @@
 // pause waits before try number n, counted from 1, and reports whether ctx
 // still allows it.
 func (s *Service) pause(ctx context.Context, n int) bool {
-	timer := time.NewTimer(retry.Backoff(n, s.random.Float64()))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Pause(ctx, retry.Backoff(n, s.random.Float64()))
 }
 
 func (s *Service) chooseNow(ctx context.Context, a entry.Admission, tried []string) choice {
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -13,6 +13,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"hornbeamtray/adapter/clock"
 	"hornbeamtray/core/dispatch"
 )
 
@@ -135,7 +136,7 @@
 		case errors.Is(err, ErrCompacted):
 			f.journal.Event("store history dropped", "revision", f.inbox.mirror.Revision())
 			whole = true
-			f.pause(ctx, firstBackoff)
+			clock.Pause(ctx, firstBackoff)
 		case err != nil:
 			f.failed(ctx, err)
 		default:
@@ -143,7 +144,7 @@
 			f.regained()
 			f.inbox.Take(batch)
 			if len(batch.Items) > 0 {
-				f.pause(ctx, pace)
+				clock.Pause(ctx, pace)
 			}
 		}
 	}
@@ -172,7 +173,7 @@
 			f.inbox.Take(batch)
 		}
 	}
-	f.pause(ctx, f.backoff/2+time.Duration(rand.Float64()*float64(f.backoff/2)))
+	clock.Pause(ctx, f.backoff/2+time.Duration(rand.Float64()*float64(f.backoff/2)))
 	f.backoff = min(2*f.backoff, maxBackoff)
 }
 
@@ -187,12 +188,3 @@
 		return s.WithStore(true, "it was read again", now)
 	})
 }
-
-func (f *Follower) pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -15,6 +15,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"hornbeamtray/adapter/clock"
 	"hornbeamtray/adapter/wire"
 	"hornbeamtray/core/dispatch"
 	"hornbeamtray/gateway/follow"
@@ -121,7 +122,7 @@
 		for _, address := range p.known() {
 			p.tomb.Go(round{peers: p, address: address, greeting: g}.run)
 		}
-		pause(ctx, leastPace)
+		clock.Pause(ctx, leastPace)
 		introduced = false
 		select {
 		case <-ticker.C:
@@ -133,15 +134,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // round is one greeting of one peer.
 type round struct {
 	peers    *Peers
--- a/steward/lead/guard.go
+++ b/steward/lead/guard.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"hornbeamtray/adapter/clock"
 	"hornbeamtray/core/switching"
 )
 
@@ -53,7 +54,7 @@
 		if l.coordinator.Phase == switching.Idle || ctx.Err() != nil {
 			break
 		}
-		pause(ctx, retryPace)
+		clock.Pause(ctx, retryPace)
 		statuses = statusesOf(l.ranks.All(ctx, own.Group, own), s.Epoch)
 		if _, answers := statuses[switching.Leader]; answers {
 			break // it checks anew, and goes on from there
--- a/steward/lead/lead.go
+++ b/steward/lead/lead.go
@@ -14,6 +14,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"hornbeamtray/adapter/clock"
 	"hornbeamtray/core/expert"
 	"hornbeamtray/core/switching"
 )
@@ -70,7 +71,7 @@
 	for ctx.Err() == nil {
 		l.round(ctx)
 		l.rounded = l.clock()
-		pause(ctx, l.pace())
+		clock.Pause(ctx, l.pace())
 	}
 	return nil
 }
@@ -287,12 +288,3 @@
 	}
 	return held
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
