Wait for orders and questions without a tomb that may have ended

Cause: tomb.Go panics once all goroutines started before have ended. Lead.order and Ranks.All started one for each rank on a tomb of their own, so that a rank that answered before the next was started ended the steward.

Ruled out: the peers' tomb, whose loop lives as long as it is used.

--- a/steward/lead/lead.go
+++ b/steward/lead/lead.go
@@ -10,6 +10,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -211,11 +212,11 @@
 // order sends orders to ranks at the same time and takes their results.
 func (l *Lead) order(ctx context.Context, orders []switching.Order) {
 	results := make([]switching.Result, len(orders))
-	var sending tomb.Tomb
+	var sending sync.WaitGroup
 	for i, o := range orders {
 		sending.Go(sent{ranks: l.ranks, ctx: ctx, order: o, result: &results[i]}.run)
 	}
-	_ = sending.Wait() // run returns no error
+	sending.Wait()
 	for i, o := range orders {
 		l.meter.Inc("orders", string(o.Verb))
 		if results[i] == switching.Refused || results[i] == switching.Unanswered {
@@ -234,9 +235,8 @@
 	result *switching.Result
 }
 
-func (s sent) run() error {
+func (s sent) run() {
 	*s.result = s.ranks.Order(s.ctx, s.order)
-	return nil
 }
 
 // plan begins a switch where the demand has moved away from the placement.
--- a/steward/ranks/ranks.go
+++ b/steward/ranks/ranks.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	"gopkg.in/tomb.v2"
 
 	"hornbeamtray/adapter/wire"
 	"hornbeamtray/core/roster"
@@ -147,7 +146,7 @@
 		return lead.Observation{}, trace.NotFound("nobody has seen rank %d yet", rank)
 	}
 	a := ask{ranks: r, ctx: ctx, address: address}
-	if a.ask(); a.found {
+	if a.run(); a.found {
 		return a.observation, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
@@ -166,7 +165,7 @@
 
 // All observes all ranks of a group whose stewards can be reached, by rank.
 func (r *Ranks) All(ctx context.Context, group string, own lead.Observation) map[int]lead.Observation {
-	var asking tomb.Tomb
+	var asking sync.WaitGroup
 	var asks []*ask
 	for _, t := range r.listing.Targets() {
 		if t.Address != r.address {
@@ -175,9 +174,7 @@
 			asking.Go(a.run)
 		}
 	}
-	if len(asks) > 0 {
-		_ = asking.Wait() // run returns no error
-	}
+	asking.Wait()
 	observed := map[int]lead.Observation{own.Status.Rank: own}
 	where := map[int]string{own.Status.Rank: r.address}
 	for _, a := range asks {
@@ -203,12 +200,8 @@
 	found       bool
 }
 
-func (a *ask) run() error {
-	a.ask()
-	return nil // a steward that gives no answer leaves found false
-}
-
-func (a *ask) ask() {
+// run asks; a steward that gives no answer leaves found false.
+func (a *ask) run() {
 	ctx, cancel := context.WithTimeout(a.ctx, observeTimeout)
 	defer cancel()
 	steward := a.ranks.steward(a.address)
