Order an engine by fresh reports only

Change: no order before the engine's first report; a report counts only when it was asked for after the last order's end.

Ruled out: doubled sends by the transport (the engine refuses an old or equal fencing number, so a doubled order would not count).

Tests: three cases of TestNext, each failing without its half of the change.

--- a/agent/engine/probe.go
+++ b/agent/engine/probe.go
@@ -22,8 +22,8 @@
 	Reached(reached bool)
 	// Restarted tells that the target is another process than before.
 	Restarted(cause string)
-	// Loaded tells what the target's engine has loaded.
-	Loaded(load string)
+	// Loaded tells what the target's engine, asked at that time, said it has loaded.
+	Loaded(load string, asked time.Time)
 }
 
 // Probe watches one target over a connection that it keeps open, so that the
@@ -78,6 +78,7 @@
 }
 
 func (p *Probe) probe(ctx context.Context) {
+	asked := time.Now()
 	load, err := p.load(ctx)
 	if ctx.Err() != nil {
 		return
@@ -87,7 +88,7 @@
 	}
 	if err == nil {
 		p.boot = load.Boot
-		p.observer.Loaded(load.Loaded)
+		p.observer.Loaded(load.Loaded, asked)
 	}
 	p.observer.Reached(err == nil)
 }
--- a/agent/serve/service.go
+++ b/agent/serve/service.go
@@ -153,10 +153,11 @@
 	s.change(func(state target.State, _ time.Time) target.State { return state.WithWatchers(domain, change) })
 }
 
-// Loaded takes note of what the target's engine has loaded.
-func (s *Service) Loaded(load string) {
+// Loaded takes note of what the target's engine said, when asked at that time,
+// that it has loaded.
+func (s *Service) Loaded(load string, asked time.Time) {
 	s.change(func(state target.State, _ time.Time) target.State {
-		state.Orders = state.Orders.WithLoaded(load)
+		state.Orders = state.Orders.WithLoaded(load, asked)
 		return state
 	})
 }
@@ -183,11 +184,8 @@
 
 // EndOrder takes note that an order came to its end.
 func (s *Service) EndOrder(o order.Order, done bool) {
-	s.change(func(state target.State, _ time.Time) target.State {
-		if done {
-			state.Orders = state.Orders.WithLoaded(o.Load)
-		}
-		state.Orders = state.Orders.Ended(o)
+	s.change(func(state target.State, now time.Time) target.State {
+		state.Orders = state.Orders.Ended(o, done, now)
 		return state
 	})
 }
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -34,8 +34,10 @@
 	version uint64 // configuration that the wish is of
 	wanted  string
 	loaded  string // as the engine reported last
+	known   bool   // the engine reported
 	count   uint64
-	sent    *Order // in progress; there is one at the most
+	sent    *Order    // in progress; there is one at the most
+	ended   time.Time // when the last order came to its end
 }
 
 // WithWanted returns the state after a configuration wants something loaded.
@@ -48,17 +50,22 @@
 	return s
 }
 
-// WithLoaded returns the state after the engine reported what it has loaded.
-func (s State) WithLoaded(load string) State {
-	s.loaded = load
+// WithLoaded returns the state after the engine reported what it has loaded. It
+// was asked at time asked; what it said before the last order's end is past.
+func (s State) WithLoaded(load string, asked time.Time) State {
+	if asked.Before(s.ended) {
+		return s
+	}
+	s.loaded, s.known = load, true
 	return s
 }
 
 // Next returns the order to give at time now, if there is one. None is given
-// while another is in progress. Counts are at least the time in milliseconds, so
+// while another is in progress, or before the engine said what it has loaded: a
+// new process would order again what its forerunner had. Counts are at least the time in milliseconds, so
 // that those of a new process go before its forerunner's.
 func (s State) Next(now time.Time) (State, *Order) {
-	if s.wanted == "" || s.wanted == s.loaded || s.sent != nil {
+	if !s.known || s.wanted == "" || s.wanted == s.loaded || s.sent != nil {
 		return s, nil
 	}
 	s.count = max(s.count+1, uint64(now.UnixMilli()))
@@ -76,10 +83,14 @@
 	return s.sent == nil || *s.sent != o || o.Load != s.wanted
 }
 
-// Ended returns the state after an order came to its end, whatever it was.
-func (s State) Ended(o Order) State {
+// Ended returns the state after an order came to its end at time now. One that
+// was not done may have been carried out all the same; the next report tells.
+func (s State) Ended(o Order, done bool, now time.Time) State {
 	if s.sent != nil && *s.sent == o {
-		s.sent = nil
+		s.sent, s.ended = nil, now
+	}
+	if done {
+		s.loaded = o.Load
 	}
 	return s
 }
--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -19,7 +19,8 @@
 var epoch = time.Unix(1_000_000, 0)
 
 func TestNext(t *testing.T) {
-	wants := State{}.WithWanted(2, "a")
+	unasked := State{}.WithWanted(2, "a")
+	wants := unasked.WithLoaded("", epoch)
 	busy, first := wants.Next(epoch)
 	tests := []struct {
 		name  string
@@ -27,11 +28,17 @@
 		want  string // what is ordered, empty for nothing
 	}{
 		{"nothing wanted", State{}, ""},
+		{"wanted, no report yet", unasked, ""},
 		{"wanted", wants, "a"},
-		{"loaded already", wants.WithLoaded("a"), ""},
-		{"lost again", wants.WithLoaded("a").WithLoaded(""), "a"},
+		{"loaded already", wants.WithLoaded("a", epoch), ""},
+		{"lost again", wants.WithLoaded("a", epoch).WithLoaded("", epoch), "a"},
 		{"one in progress", busy.WithWanted(3, "b"), ""},
-		{"after its end", busy.WithWanted(3, "b").Ended(*first), "b"},
+		{"after its end", busy.WithWanted(3, "b").Ended(*first, true, epoch), "b"},
+		{"carried out", busy.Ended(*first, true, epoch), ""},
+		{"failed", busy.Ended(*first, false, epoch), "a"},
+		{"a report asked for before the end", busy.Ended(*first, true, epoch).WithLoaded("", epoch.Add(-1)), ""},
+		{"a report asked for during the order", busy.WithLoaded("", epoch.Add(-1)).Ended(*first, true, epoch), ""},
+		{"a report asked for after the end", busy.Ended(*first, true, epoch).WithLoaded("", epoch.Add(1)), "a"},
 		{"older configuration", wants.WithWanted(1, "b"), "a"},
 	}
 	for _, tt := range tests {
@@ -57,10 +64,11 @@
 func TestEngineEndsWithWhatIsWanted(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		heeds := rapid.Bool().Draw(t, "engine heeds numbers")
-		var s State
+		s := State{}.WithLoaded("", epoch)
 		var engine string
 		var highest Fence
 		version := uint64(0)
+		now := epoch
 		give := func(o *Order, lost bool) {
 			if o == nil || s.Stale(*o) {
 				return
@@ -69,10 +77,11 @@
 				t.Fatalf("number %+v after %+v", o.Fence, highest)
 			}
 			highest = o.Fence
+			now = now.Add(time.Millisecond)
 			if !lost {
 				engine = o.Load
 			}
-			s = s.Ended(*o)
+			s = s.Ended(*o, !lost, now)
 		}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
@@ -81,10 +90,10 @@
 				s = s.WithWanted(version, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "load"))
 			case 1:
 				var o *Order
-				s, o = s.Next(epoch)
+				s, o = s.Next(now)
 				give(o, rapid.Bool().Draw(t, "lost"))
 			case 2:
-				s = s.WithLoaded(engine)
+				s = s.WithLoaded(engine, now)
 			case 3: // a stale order of a paused forerunner, which only an engine that heeds numbers refuses
 				if !heeds {
 					engine = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "stale")
@@ -92,9 +101,9 @@
 			}
 		}
 		for range 3 {
-			s = s.WithLoaded(engine)
+			s = s.WithLoaded(engine, now)
 			var o *Order
-			s, o = s.Next(epoch)
+			s, o = s.Next(now)
 			give(o, false)
 		}
 		if version > 0 && engine != s.wanted {
