Lead groups of 63 ranks: few tell counts, long messages are packed

The leader asked 62 stewards four times a second for about 14 KB each, more than its 8 Mbit/s carry within the 0.2 s that an answer may take, so its view was never complete. A rank without a steward kept its whole group from being planned for at any size.

Ruled out: harm by late statuses.

Tests, failing before: a hot expert with a rank, and with the holder, without a steward (no map came into force); the size of packed counts.

--- a/adapter/wire/json_test.go
+++ b/adapter/wire/json_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"testing"
 	"time"
 )
@@ -31,6 +32,37 @@
 	}
 }
 
+func TestLongMessagesArePacked(t *testing.T) {
+	tests := []struct {
+		name  string
+		count int
+		most  int // bytes
+	}{
+		{"nothing", 0, 20},
+		{"a short message stays as it is", 5, 100},
+		{"the counts of a large group's rank", 2016, 7000},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			numbers := make([]int, tt.count)
+			for i := range numbers {
+				numbers[i] = 1000 + i*i*37%90000
+			}
+			text, err := plain{}.Marshal(numbers)
+			if err != nil || len(text) > tt.most {
+				t.Errorf("%d bytes, %v, want at most %d", len(text), err, tt.most)
+			}
+			var read []int
+			if err := (plain{}).Unmarshal(text, &read); err != nil || !slices.Equal(read, numbers) {
+				t.Errorf("read %v, %v, want what was written", read, err)
+			}
+			if len(text) > 200 && (plain{}).Unmarshal(text[:200], &read) == nil {
+				t.Error("a message that was cut is read")
+			}
+		})
+	}
+}
+
 // A peer that is paused accepts connections and answers nothing.
 func TestCallOfPausedPeerEnds(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/core/switching/model_test.go
+++ b/core/switching/model_test.go
@@ -26,7 +26,8 @@
 	step  uint64
 	epoch uint64
 	now   time.Time
-	late  []Order // to be carried out at some time
+	late  []Order  // to be carried out at some time
+	past  Statuses // of some time ago; what a rank without a steward says is as old
 
 	leader    Coordinator
 	leading   bool
@@ -108,7 +109,19 @@
 	}
 }
 
-func (m *model) statuses(withLeader bool) Statuses {
+// statuses returns what the ranks say, some of them late if faulty. The leader
+// has its own rank's status at once.
+func (m *model) statuses(withLeader, faulty bool) Statuses {
+	s := m.present(withLeader)
+	for rank, past := range m.past {
+		if faulty && rank != Leader && past.Epoch == m.epoch && rapid.IntRange(0, 3).Draw(m.t, "late status") == 0 {
+			s[rank] = past
+		}
+	}
+	return s
+}
+
+func (m *model) present(withLeader bool) Statuses {
 	s := Statuses{}
 	for rank, r := range m.ranks {
 		if rank == Leader && !withLeader {
@@ -155,7 +168,7 @@
 	if m.frozen {
 		return
 	}
-	statuses := m.statuses(true)
+	statuses := m.statuses(true, faulty)
 	if m.leading && m.leader.Phase != Idle && m.now.Sub(m.lastRound) > Window {
 		m.leading = false
 	}
@@ -202,7 +215,7 @@
 	if held == 0 || m.now.Sub(m.heldSince) < Guard {
 		return
 	}
-	statuses := m.statuses(false)
+	statuses := m.statuses(false, faulty)
 	if !m.guarding {
 		m.guarding = true
 		m.guardian = NewGuardian(m.epoch, len(m.ranks), m.placement(), statuses)
@@ -230,7 +243,7 @@
 }
 
 func (m *model) act(faulty bool) {
-	action := rapid.SampledFrom([]string{"lead", "lead", "lead", "guard", "pass", "copy", "wait", "late", "freeze", "absence", "kill", "epoch"}).Draw(m.t, "action")
+	action := rapid.SampledFrom([]string{"lead", "lead", "lead", "guard", "pass", "copy", "wait", "late", "look", "freeze", "absence", "kill", "epoch"}).Draw(m.t, "action")
 	if !faulty && (action == "freeze" || action == "absence" || action == "kill" || action == "epoch") {
 		action = "lead"
 	}
@@ -252,6 +265,8 @@
 			m.late = append(m.late[:i], m.late[i+1:]...)
 			m.carryOut(o)
 		}
+	case "look":
+		m.past = m.present(true)
 	case "freeze":
 		m.frozen = !m.frozen
 	case "absence":
--- a/steward/lead/guard.go
+++ b/steward/lead/guard.go
@@ -31,8 +31,8 @@
 	if now.Sub(l.held.since) < switching.Guard {
 		return
 	}
-	observed := l.ranks.All(ctx, own.Group, own)
-	if leader, answers := observed[switching.Leader]; answers && leader.Status.Epoch == s.Epoch {
+	observed := l.ranks.All(ctx, own.Group, own, false)
+	if leader, answers := observed[switching.Leader]; answers && !leader.Direct && leader.Status.Epoch == s.Epoch {
 		l.journal.Event("pass held for long", "group", own.Group, "epoch", s.Epoch, "step", s.Held, "leader", "answers")
 		return
 	}
@@ -55,10 +55,12 @@
 			break
 		}
 		clock.Pause(ctx, retryPace)
-		statuses = statusesOf(l.ranks.All(ctx, own.Group, own), s.Epoch)
-		if _, answers := statuses[switching.Leader]; answers {
-			break // it checks anew, and goes on from there
+		observed = l.ranks.All(ctx, own.Group, own, false)
+		if leader, answers := observed[switching.Leader]; answers && !leader.Direct {
+			break // its steward checks anew, and goes on from there
 		}
+		statuses = statusesOf(observed, s.Epoch)
+		delete(statuses, switching.Leader)
 	}
 	l.journal.Event("held pass resolved", "group", own.Group, "epoch", s.Epoch, "phase", l.coordinator.Phase)
 	l.coordinator = switching.Coordinator{Phase: switching.Idle}
--- a/steward/lead/lead.go
+++ b/steward/lead/lead.go
@@ -45,6 +45,7 @@
 	// All below is owned by run.
 	demand      demand
 	group       string
+	sights      sights
 	coordinator switching.Coordinator
 	leading     bool
 	lost        bool
@@ -107,7 +108,9 @@
 		}
 		return
 	}
-	observed := l.ranks.All(ctx, own.Group, own)
+	observed := l.ranks.All(ctx, own.Group, own, l.coordinator.Phase == switching.Idle && l.demand.due(l.clock()))
+	l.demand.take(observed, shape, l.clock())
+	observed = l.sights.fill(ctx, l.ranks, own, observed, l.leading && l.coordinator.Phase == switching.Idle, l.clock())
 	statuses := statusesOf(observed, own.Status.Epoch)
 	if now := l.clock(); l.leading && now.Sub(l.rounded) > paused && l.coordinator.Phase != switching.Idle {
 		// Another steward may have resolved the pass that was held, so what this
@@ -115,7 +118,6 @@
 		l.journal.Event("paused while a switch was in progress", "for", now.Sub(l.rounded), "phase", l.coordinator.Phase)
 		l.leading = false
 	}
-	l.demand.take(observed, shape, l.clock())
 	if !l.leading || l.group != own.Group || l.coordinator.Epoch != own.Status.Epoch {
 		if !statuses.Complete(own.Status.Size, own.Status.Epoch) {
 			return
@@ -176,7 +178,7 @@
 			return // the copies take a while
 		}
 		asked := l.clock()
-		holder, err := l.ranks.One(ctx, switching.Holder(l.coordinator.Size))
+		holder, err := l.ranks.One(ctx, switching.Holder(l.coordinator.Size), false)
 		if err != nil || holder.Status.Epoch != l.coordinator.Epoch {
 			return
 		}
--- a/steward/lead/lead_test.go
+++ b/steward/lead/lead_test.go
@@ -22,6 +22,8 @@
 	frozen  bool       // guarded by mu; rank 0's machine stands still
 	maps    int        // guarded by mu; maps that came into force
 	mixed   bool       // guarded by mu; a pass began on two maps
+	mute    int        // guarded by mu; rank whose steward gives no answer, 0 for none
+	far     int        // guarded by mu; how often that rank was asked without its steward
 	onHold  func()     // called at a hold, with mu held
 	stopped chan struct{}
 }
@@ -86,6 +88,13 @@
 	}
 }
 
+// isMute reports whether a rank's steward gives no answer.
+func (g *group) isMute(rank int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.mute == rank && rank != 0
+}
+
 // result returns how many maps came into force, and whether a pass began on two.
 func (g *group) result() (int, bool) {
 	g.mu.Lock()
@@ -148,12 +157,25 @@
 
 func (v view) Own(context.Context) (Observation, error) { return v.observe(v.rank) }
 
-func (v view) One(_ context.Context, rank int) (Observation, error) { return v.observe(rank) }
+func (v view) One(_ context.Context, rank int, lists bool) (Observation, error) {
+	o, err := v.observe(rank)
+	if !v.group.isMute(rank) {
+		return o, err
+	}
+	o.Direct, o.Counts = true, nil
+	if !lists {
+		o.Lists = nil
+	}
+	v.group.mu.Lock()
+	defer v.group.mu.Unlock()
+	v.group.far++
+	return o, err
+}
 
-func (v view) All(context.Context, string, Observation) map[int]Observation {
+func (v view) All(context.Context, string, Observation, bool) map[int]Observation {
 	all := map[int]Observation{}
 	for rank := range 3 {
-		if o, err := v.observe(rank); err == nil {
+		if o, err := v.observe(rank); err == nil && !v.group.isMute(rank) {
 			all[rank] = o
 		}
 	}
@@ -183,15 +205,20 @@
 	tests := []struct {
 		name   string
 		demand []uint64
+		mute   int // rank whose steward gives no answer, 0 for none
 		maps   bool
 	}{
-		{"even", []uint64{5, 10, 10, 5}, false},
-		{"one hot expert", []uint64{60, 5, 5, 60}, true},
+		{"even", []uint64{5, 10, 10, 5}, 0, false},
+		{"one hot expert", []uint64{60, 5, 5, 60}, 0, true},
+		{"even, a rank without a steward", []uint64{5, 10, 10, 5}, 2, false},
+		{"one hot expert, a rank without a steward", []uint64{60, 5, 5, 60}, 2, true},
+		{"one hot expert, the holder without a steward", []uint64{60, 5, 5, 60}, 1, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := newGroup(make([]uint64, 4))
+				g.mute = tt.mute
 				go g.run(tt.demand)
 				l := New(view{g, 0}, known{}, quiet{}, quiet{}, time.Now)
 				time.Sleep(5 * time.Second)
@@ -200,6 +227,9 @@
 				if maps, mixed := g.result(); mixed || (maps > 0) != tt.maps {
 					t.Errorf("%d maps came into force, mixed %t, want any %t and none mixed", maps, mixed, tt.maps)
 				}
+				if !tt.maps && g.far > 7 {
+					t.Errorf("a rank was asked %d times from afar in 5 s in which nothing was to be done, want one a second", g.far)
+				}
 			})
 		})
 	}
@@ -264,9 +294,9 @@
 	return p.view.Own(ctx)
 }
 
-func (p *pausable) One(ctx context.Context, rank int) (Observation, error) {
+func (p *pausable) One(ctx context.Context, rank int, lists bool) (Observation, error) {
 	p.wait()
-	return p.view.One(ctx, rank)
+	return p.view.One(ctx, rank, lists)
 }
 
 func (p *pausable) Order(ctx context.Context, o switching.Order) switching.Result {
--- a/steward/lead/port.go
+++ b/steward/lead/port.go
@@ -23,10 +23,13 @@
 	// Own observes the own rank.
 	Own(ctx context.Context) (Observation, error)
 	// One observes one rank: through its steward, or where that gives no answer
-	// directly, which tells no counts, and the rest a little late.
-	One(ctx context.Context, rank int) (Observation, error)
+	// directly, which tells no counts, lists only where they are wanted, and the
+	// rest a little late.
+	One(ctx context.Context, rank int, lists bool) (Observation, error)
 	// All observes all ranks of a group whose stewards can be reached, by rank.
-	All(ctx context.Context, group string, own Observation) map[int]Observation
+	// With counts, some of them tell their counts, and it may take longer: stewards
+	// that gave no answer are asked again.
+	All(ctx context.Context, group string, own Observation, counts bool) map[int]Observation
 	// Asked returns when another steward last observed the own rank.
 	Asked() time.Time
 	// Order orders one rank.
--- a/steward/ranks/ranks.go
+++ b/steward/ranks/ranks.go
@@ -23,6 +23,11 @@
 const (
 	observeTimeout = 200 * time.Millisecond // above a round trip between failure domains and a busy steward
 	orderTimeout   = 60 * time.Millisecond  // an order that takes longer is one whose answer is lost; an engine answers in a millisecond
+	mapTimeout     = 600 * time.Millisecond // of an order with a map: some dozen maps leave over one narrow link at a time
+
+	// tellers is how many ranks tell their counts. Requests go to all ranks alike,
+	// so more of them tell little that is new, and each is some kilobytes.
+	tellers = 12
 )
 
 // Names of the calls.
@@ -33,6 +38,8 @@
 
 // Engine is one rank.
 type Engine interface {
+	// Status reads the rank's status.
+	Status(ctx context.Context) (lead.Observation, error)
 	// Report reads the rank's status and lists.
 	Report(ctx context.Context) (lead.Observation, error)
 	// Observe reads the rank's status, lists and counts.
@@ -61,9 +68,11 @@
 	address string // of the own target
 	port    string // of all stewards
 
-	mu    sync.Mutex
-	where map[int]string // address of the target by rank; guarded by mu
-	asked time.Time      // when another steward last observed the own rank; guarded by mu
+	mu     sync.Mutex
+	where  map[int]string  // address of the target by rank; guarded by mu
+	asked  time.Time       // when another steward last observed the own rank; guarded by mu
+	tells  map[string]bool // addresses of the ranks that tell their counts; guarded by mu
+	silent map[string]bool // addresses of the ranks whose stewards gave no answer; guarded by mu
 }
 
 // New returns the ranks as seen by the steward beside the target at address.
@@ -71,7 +80,7 @@
 func New(address string, port int, engines Engines, listing Listing, client *wire.Client, clock func() time.Time) *Ranks {
 	return &Ranks{
 		own: engines.Engine(address), engines: engines, listing: listing, client: client, clock: clock, address: address,
-		port: strconv.Itoa(port), where: map[int]string{},
+		port: strconv.Itoa(port), where: map[int]string{}, tells: map[string]bool{}, silent: map[string]bool{},
 	}
 }
 
@@ -80,8 +89,10 @@
 	return wire.Handlers{observeCall: r.observe, orderCall: r.carryOut}
 }
 
-// empty is a message without content.
-type empty struct{}
+// question asks how a rank is.
+type question struct {
+	Counts bool `json:"counts,omitempty"` // Counts: the rank's counts are wanted, too.
+}
 
 // answered is the result of an order.
 type answered struct {
@@ -89,13 +100,17 @@
 }
 
 func (r *Ranks) observe(ctx context.Context, read func(any) error) (any, error) {
-	if err := read(&empty{}); err != nil {
+	var q question
+	if err := read(&q); err != nil {
 		return nil, err
 	}
 	r.mu.Lock()
 	r.asked = r.clock()
 	r.mu.Unlock()
-	return r.own.Observe(ctx)
+	if q.Counts {
+		return r.own.Observe(ctx)
+	}
+	return r.own.Report(ctx)
 }
 
 // Asked returns when another steward last observed the own rank.
@@ -119,7 +134,7 @@
 
 // order orders a rank. Without an answer nobody knows whether it is carried out.
 func order(ctx context.Context, engine Engine, o switching.Order) switching.Result {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout(o))
 	defer cancel()
 	result, err := engine.Order(ctx, o)
 	if err != nil {
@@ -128,6 +143,14 @@
 	return result
 }
 
+// timeout returns how long an order may take.
+func timeout(o switching.Order) time.Duration {
+	if o.Map != nil {
+		return mapTimeout
+	}
+	return orderTimeout
+}
+
 // Own observes the own rank.
 func (r *Ranks) Own(ctx context.Context) (lead.Observation, error) {
 	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
@@ -136,8 +159,9 @@
 }
 
 // One observes one rank: through its steward, or where that gives no answer
-// directly, which tells no counts, and the rest a little late.
-func (r *Ranks) One(ctx context.Context, rank int) (lead.Observation, error) {
+// directly, which tells no counts, lists only where they are wanted, since they
+// are dear from afar, and the rest a little late.
+func (r *Ranks) One(ctx context.Context, rank int, lists bool) (lead.Observation, error) {
 	address := r.at(rank)
 	if address == r.address {
 		return r.Own(ctx)
@@ -151,7 +175,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
 	defer cancel()
-	observation, err := r.engines.Engine(address).Report(ctx)
+	read := r.engines.Engine(address).Status
+	if lists {
+		read = r.engines.Engine(address).Report
+	}
+	observation, err := read(ctx)
 	observation.Direct = true
 	return observation, err
 }
@@ -163,32 +191,54 @@
 	return r.where[rank]
 }
 
-// All observes all ranks of a group whose stewards can be reached, by rank.
-func (r *Ranks) All(ctx context.Context, group string, own lead.Observation) map[int]lead.Observation {
+// All observes all ranks of a group whose stewards can be reached, by rank. With
+// counts, some of them tell their counts: those that did so last, as far as they
+// still answer.
+func (r *Ranks) All(ctx context.Context, group string, own lead.Observation, counts bool) map[int]lead.Observation {
 	var asking sync.WaitGroup
 	var asks []*ask
 	for _, t := range r.listing.Targets() {
 		if t.Address != r.address {
-			a := &ask{ranks: r, ctx: ctx, address: t.Address}
-			asks = append(asks, a)
-			asking.Go(a.run)
+			asks = append(asks, &ask{ranks: r, ctx: ctx, address: t.Address, retry: counts})
 		}
 	}
+	if counts {
+		r.choose(asks)
+	}
+	for _, a := range asks {
+		asking.Go(a.run)
+	}
 	asking.Wait()
 	observed := map[int]lead.Observation{own.Status.Rank: own}
-	where := map[int]string{own.Status.Rank: r.address}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.where[own.Status.Rank] = r.address
 	for _, a := range asks {
 		if a.found && a.observation.Group == group {
 			observed[a.observation.Status.Rank] = a.observation
-			where[a.observation.Status.Rank] = a.address
+			r.where[a.observation.Status.Rank] = a.address
+		}
+		if a.counts && len(a.observation.Counts) == 0 {
+			delete(r.tells, a.address)
 		}
 	}
+	return observed
+}
+
+// choose has as many ranks as needed asked for their counts.
+func (r *Ranks) choose(asks []*ask) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for rank, address := range where {
-		r.where[rank] = address
+	tells, count := map[string]bool{}, 1 // the own rank tells always
+	for _, known := range []bool{true, false} {
+		for _, a := range asks {
+			if count < tellers && r.tells[a.address] == known {
+				a.counts, tells[a.address] = true, true
+				count++
+			}
+		}
 	}
-	return observed
+	r.tells = tells
 }
 
 // ask is one question to the steward beside one target.
@@ -196,16 +246,38 @@
 	ranks       *Ranks
 	ctx         context.Context
 	address     string
+	counts      bool // counts: the rank's counts are wanted, too
+	retry       bool // retry: a steward that gave no answer is asked again
 	observation lead.Observation
 	found       bool
 }
 
-// run asks; a steward that gives no answer leaves found false.
+// run asks. One that gave no answer before is asked only where there is time for it.
 func (a *ask) run() {
+	if !a.retry && a.ranks.isSilent(a.address) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(a.ctx, observeTimeout)
 	defer cancel()
 	steward := a.ranks.steward(a.address)
-	a.found = steward != "" && a.ranks.client.Call(ctx, steward, observeCall, empty{}, &a.observation) == nil
+	a.found = steward != "" && a.ranks.client.Call(ctx, steward, observeCall, question{Counts: a.counts}, &a.observation) == nil
+	a.ranks.mark(a.address, !a.found)
+}
+
+func (r *Ranks) isSilent(address string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.silent[address]
+}
+
+func (r *Ranks) mark(address string, silent bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if silent {
+		r.silent[address] = true
+		return
+	}
+	delete(r.silent, address)
 }
 
 // steward returns the address of the steward beside a target.
@@ -226,14 +298,15 @@
 	if address == r.address {
 		return r.local(ctx, o)
 	}
-	if o.Verb == switching.Hold {
+	if o.Verb == switching.Hold || r.isSilent(address) {
 		return order(ctx, r.engines.Engine(address), o)
 	}
-	calling, cancel := context.WithTimeout(ctx, 2*orderTimeout)
+	calling, cancel := context.WithTimeout(ctx, 2*timeout(o))
 	defer cancel()
 	var result answered
 	if err := r.client.Call(calling, r.steward(address), orderCall, o, &result); err == nil {
 		return result.Result
 	}
+	r.mark(address, true)
 	return order(ctx, r.engines.Engine(address), o)
 }
--- a/steward/ranks/ranks_test.go
+++ b/steward/ranks/ranks_test.go
@@ -35,7 +35,7 @@
 	address string
 }
 
-func (e fakeEngine) Report(context.Context) (lead.Observation, error) {
+func (e fakeEngine) Status(context.Context) (lead.Observation, error) {
 	rank, found := e.seen.fleet.rank[e.address]
 	if !found {
 		return lead.Observation{}, errors.New("unreachable")
@@ -43,6 +43,12 @@
 	return lead.Observation{Group: "g", Status: switching.Status{Rank: rank, Size: 3, Epoch: 1}}, nil
 }
 
+func (e fakeEngine) Report(ctx context.Context) (lead.Observation, error) {
+	o, err := e.Status(ctx)
+	o.Lists = [][]int{{1}}
+	return o, err
+}
+
 func (e fakeEngine) Observe(ctx context.Context) (lead.Observation, error) {
 	o, err := e.Report(ctx)
 	o.Counts = []uint64{1}
@@ -92,14 +98,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	all := leader.All(t.Context(), "g", own)
+	all := leader.All(t.Context(), "g", own, true)
 	if len(all) != 2 || all[0].Status.Rank != 0 || all[1].Status.Rank != 1 || all[1].Counts == nil {
 		t.Errorf("observed are %+v, want ranks 0 and 1", all)
 	}
 	if guardian.Asked().IsZero() || !leader.Asked().IsZero() {
 		t.Error("the guardian does not know that it was asked, or the leader believes that it was")
 	}
-	if len(leader.All(t.Context(), "another", own)) != 1 {
+	if len(leader.All(t.Context(), "another", own, false)) != 1 {
 		t.Error("ranks of another group were observed")
 	}
 }
@@ -107,11 +113,11 @@
 func TestOne(t *testing.T) {
 	_, leader, _ := start(t)
 	own, _ := leader.Own(t.Context())
-	if _, err := leader.One(t.Context(), 1); err == nil {
+	if _, err := leader.One(t.Context(), 1, false); err == nil {
 		t.Error("a rank that nobody has seen was observed")
 	}
-	leader.All(t.Context(), "g", own)
-	if o, err := leader.One(t.Context(), 1); err != nil || o.Direct || o.Status.Rank != 1 {
+	leader.All(t.Context(), "g", own, false)
+	if o, err := leader.One(t.Context(), 1, false); err != nil || o.Direct || o.Status.Rank != 1 {
 		t.Errorf("observation through the steward is %+v, %v", o, err)
 	}
 }
@@ -132,7 +138,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			f, leader, _ := start(t)
 			own, _ := leader.Own(t.Context())
-			leader.All(t.Context(), "g", own)
+			leader.All(t.Context(), "g", own, false)
 			if got := leader.Order(t.Context(), switching.Order{Verb: tt.verb, Rank: tt.rank}); got != switching.Done {
 				t.Errorf("result is %v", got)
 			}
