Six gateways read the store; the others learn from them

Cause: every gateway watched the store by itself.

Change: greetings tell whether a gateway reads the store by itself. One that hears of six such, before it in an order that all work out alike, rests; what is new and proof come with the greetings, as before. It reads again when one of the six was not heard for a second or lost the store, and for 5 s when its proof is older than half the bound. An outage of the store is told on for 2 s, so that removals are lapses for those that did not see it, unless one who reads saw none.

Tests, failing before: TestFewRead (ten gateways, readers stop one by one), TestSparedGatewayReadsAgain, TestOutage, three cases of the roster.

--- a/core/dispatch/news.go
+++ b/core/dispatch/news.go
@@ -71,6 +71,13 @@
 	return s
 }
 
+// WithStoreOutage returns the state after other gateways saw an outage of the store
+// that lasted until a time.
+func (s State) WithStoreOutage(until time.Time) State {
+	s.Roster = s.Roster.WithOutage(until)
+	return s
+}
+
 // trailTargets adds the targets that began or ceased to bear work to the trail.
 func (s State) trailTargets(after roster.Roster, now time.Time) State {
 	bore := map[string]bool{}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -132,6 +132,15 @@
 	return r
 }
 
+// WithOutage returns the roster after others saw an outage of the store that
+// lasted until a time, which is no later than now.
+func (r Roster) WithOutage(until time.Time) Roster {
+	if until.After(r.regained) {
+		r.regained = until
+	}
+	return r
+}
+
 // Swept returns the roster without targets that stayed missing after an outage.
 func (r Roster) Swept(now time.Time) Roster {
 	for id, until := range r.lapsed {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -61,6 +61,15 @@
 		{"removed long after the return", func(r roster.Roster) roster.Roster {
 			return r.WithLost().WithRegained(at(0)).WithRemoved("a", 3, at(5000))
 		}, 5000, "b"},
+		{"lapsed in an outage that others saw", func(r roster.Roster) roster.Roster {
+			return r.WithOutage(at(0)).WithRemoved("a", 3, at(100))
+		}, 2200, "a b"},
+		{"missing for too long after an outage that others saw", func(r roster.Roster) roster.Roster {
+			return r.WithOutage(at(0)).WithRemoved("a", 3, at(100))
+		}, 2400, "b"},
+		{"an older outage that others saw changes nothing", func(r roster.Roster) roster.Roster {
+			return r.WithLost().WithRegained(at(0)).WithOutage(at(-9000)).WithRemoved("a", 3, at(100))
+		}, 2200, "a b"},
 		{"missing in a whole listing", func(r roster.Roster) roster.Roster {
 			return r.WithOnly(map[string]bool{"b": true}, 9, at(0))
 		}, 0, "b"},
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -23,6 +23,9 @@
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 500 * time.Millisecond // the store's return is to be noticed well within a second
 	relayPace    = 400 * time.Millisecond // between questions to peers while the store can't be read
+	sparedPace   = 200 * time.Millisecond // between looks whether enough others still read the store
+	sparedParts  = 2                      // proof that is older than one of so many parts of its bound shows that peers don't tell
+	doubtTime    = 5 * time.Second        // for how long peers that did not tell are not relied on
 )
 
 // Item is one published item.
@@ -58,6 +61,8 @@
 	// Relayed returns the newest that any peer knows after a revision, and
 	// whether there is any.
 	Relayed(ctx context.Context, after uint64) (Batch, bool)
+	// Spared reports whether enough others read the store and tell what they read.
+	Spared() bool
 }
 
 // Control takes what is new.
@@ -106,8 +111,11 @@
 	peers   Peers
 	inbox   *Inbox
 	journal Journal
+	proof   time.Duration // bound on the age of proof
 	watch   time.Duration // how long a watch waits for news
 
+	spared  bool          // owned by run
+	doubt   time.Time     // owned by run; until when peers are not relied on
 	lost    bool          // owned by run
 	backoff time.Duration // owned by run
 	relayed time.Time     // owned by run; when peers were last asked
@@ -115,7 +123,7 @@
 
 // New starts following, often enough that proof is never as old as a bound.
 func New(store Store, peers Peers, inbox *Inbox, journal Journal, proof time.Duration) *Follower {
-	f := &Follower{store: store, peers: peers, inbox: inbox, journal: journal, watch: proof / watchParts, backoff: firstBackoff}
+	f := &Follower{store: store, peers: peers, inbox: inbox, journal: journal, proof: proof, watch: proof / watchParts, backoff: firstBackoff}
 	f.tomb.Go(f.run)
 	return f
 }
@@ -130,6 +138,10 @@
 	ctx := f.tomb.Context(context.Background())
 	whole := true
 	for ctx.Err() == nil {
+		if !whole && f.rests() {
+			clock.Pause(ctx, sparedPace)
+			continue
+		}
 		batch, err := f.read(ctx, whole)
 		switch {
 		case ctx.Err() != nil:
@@ -142,6 +154,7 @@
 		default:
 			whole = false
 			f.regained()
+			f.inbox.mirror.Stand(Standing{Read: f.inbox.clock(), Outage: f.inbox.mirror.Standing().Outage})
 			f.inbox.Take(batch)
 			if len(batch.Items) > 0 {
 				clock.Pause(ctx, pace)
@@ -158,8 +171,26 @@
 	return f.store.Watch(ctx, f.inbox.mirror.Revision(), f.watch)
 }
 
+// rests reports whether others read the store for this gateway. Calls are priced
+// and limited for all machines together, so few of many read. One that can't read
+// the store goes on trying, and one whose peers tell of no fresh proof reads by itself for a while.
+func (f *Follower) rests() bool {
+	now := f.inbox.clock()
+	old := now.Sub(f.inbox.mirror.At()) > f.proof/sparedParts
+	if old {
+		f.doubt = now.Add(doubtTime)
+	}
+	spared := !f.lost && !now.Before(f.doubt) && f.peers.Spared()
+	if spared != f.spared {
+		f.spared = spared
+		f.journal.Event("reading the store", "spared", spared, "revision", f.inbox.mirror.Revision(), "old", old)
+	}
+	return spared
+}
+
 // failed notes that the store can't be read, and asks peers that may still read it.
 func (f *Follower) failed(ctx context.Context, err error) {
+	f.inbox.mirror.Stand(Standing{Read: f.inbox.mirror.Standing().Read, Outage: f.inbox.clock()})
 	if !f.lost {
 		f.lost = true
 		f.journal.Event("store lost", "error", err.Error(), "revision", f.inbox.mirror.Revision())
--- a/gateway/follow/follow_test.go
+++ b/gateway/follow/follow_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -97,7 +98,12 @@
 }
 
 // peers relays a mirror.
-type peers struct{ mirror *follow.Mirror }
+type peers struct {
+	mirror *follow.Mirror
+	spare  func() bool // nil for never
+}
+
+func (p peers) Spared() bool { return p.spare != nil && p.spare() }
 
 func (p peers) Relayed(_ context.Context, after uint64) (follow.Batch, bool) {
 	if p.mirror == nil {
@@ -211,7 +217,7 @@
 		time.Sleep(time.Second)
 		away := newStore()
 		away.set(true, false)
-		f, c, _ := follower(away, peers{mirror})
+		f, c, _ := follower(away, peers{mirror: mirror})
 		defer f.Close()
 		for i := range 20 {
 			time.Sleep(time.Second)
@@ -227,6 +233,64 @@
 	})
 }
 
+// TestSparedGatewayReadsAgain has others read the store for a gateway, and one
+// after another go silent or lose the store.
+func TestSparedGatewayReadsAgain(t *testing.T) {
+	tests := []struct {
+		name  string
+		relay bool // the readers still tell what they read
+		spare bool // enough of them still read
+		reads bool
+	}{
+		{"others read", true, true, false},
+		{"too few others read", true, false, true},
+		{"others read, but what they tell is old", false, true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStore()
+				s.put("a", false)
+				reader, _, mirror := follower(s, peers{})
+				defer reader.Close()
+				own := newStore()
+				own.put("a", false)
+				var spare, relay atomic.Bool
+				spare.Store(true)
+				relay.Store(true)
+				f, c, known := follower(own, peers{spare: spare.Load})
+				defer f.Close()
+				time.Sleep(time.Second)
+				told := time.NewTicker(400 * time.Millisecond)
+				defer told.Stop()
+				pass := func(seconds int) {
+					for end := time.Now().Add(time.Duration(seconds) * time.Second); time.Now().Before(end); <-told.C {
+						if batch, complete := mirror.Since(known.Revision()); complete && relay.Load() {
+							known.Take(batch)
+							c.Change(func(s dispatch.State, now time.Time) dispatch.State { return s.WithNews(decode(batch, now), now) })
+						}
+						if !c.get().Fresh(time.Now()) {
+							t.Fatal("the proof is too old though the store answers")
+						}
+					}
+				}
+				pass(5)
+				spare.Store(tt.spare)
+				relay.Store(tt.relay)
+				own.mu.Lock()
+				before := own.calls
+				own.mu.Unlock()
+				pass(20)
+				own.mu.Lock()
+				defer own.mu.Unlock()
+				if calls := own.calls - before; (calls >= 10) != tt.reads || !tt.reads && calls > 0 {
+					t.Errorf("%d calls in 20 s, want any: %t", calls, tt.reads)
+				}
+			})
+		})
+	}
+}
+
 func TestCallsAreFew(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore()
--- a/gateway/follow/mirror.go
+++ b/gateway/follow/mirror.go
@@ -7,6 +7,10 @@
 	"time"
 )
 
+// readFresh is how long ago a gateway may have read the store to count as one that
+// reads it: more than a watch without news and the pause after one with news.
+const readFresh = 2 * time.Second
+
 // maxRemovals bounds the removals that a Mirror remembers for peers.
 const maxRemovals = 1000
 
@@ -17,6 +21,18 @@
 	revision uint64          // guarded by mu
 	at       time.Time       // guarded by mu
 	complete bool            // guarded by mu; everything was listed once
+	standing Standing        // guarded by mu
+}
+
+// Standing is how a gateway itself fares with the store.
+type Standing struct {
+	Read   time.Time // Read is when it last read the store.
+	Outage time.Time // Outage is when it last could not; zero for never.
+}
+
+// Reads reports whether the gateway reads the store by itself at time now.
+func (s Standing) Reads(now time.Time) bool {
+	return now.Sub(s.Read) < readFresh && !s.Outage.After(s.Read)
 }
 
 // NewMirror returns an empty mirror.
@@ -24,6 +40,20 @@
 	return &Mirror{items: map[string]Item{}}
 }
 
+// Standing returns how the gateway itself fares with the store.
+func (m *Mirror) Standing() Standing {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.standing
+}
+
+// Stand takes note of how the gateway itself fares with the store.
+func (m *Mirror) Stand(standing Standing) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.standing = standing
+}
+
 // Revision returns the revision up to which all is known.
 func (m *Mirror) Revision() uint64 {
 	m.mu.Lock()
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"gopkg.in/tomb.v2"
 
 	"hornbeamtray/adapter/clock"
@@ -27,6 +28,9 @@
 	callTimeout = 300 * time.Millisecond // well above a round trip between failure domains
 	forgetAfter = 30 * time.Second       // a peer that was not heard for so long is no longer greeted
 	maxPeers    = 512
+	readers     = 6               // gateways that read the store; the loss of a failure domain leaves some
+	heardFresh  = time.Second     // a peer that was not heard for so long may read no more
+	outageKnown = 2 * time.Second // for so long after an outage entries that lapsed in it come back
 )
 
 // Names of the calls.
@@ -45,6 +49,9 @@
 	Complete bool          `json:"complete"` // the gateway knows all that is published
 	Revision uint64        `json:"revision"` // up to which it does
 	Age      time.Duration `json:"age"`      // since the read that proved it began
+
+	Reads  bool           `json:"reads,omitempty"`  // the gateway reads the store by itself
+	Outage *time.Duration `json:"outage,omitempty"` // since it last could not, if that is not long ago
 }
 
 // question asks for what changed after a revision.
@@ -87,14 +94,22 @@
 	inbox   *follow.Inbox
 	clock   func() time.Time
 
-	mu    sync.Mutex
-	heard map[string]time.Time // by address; guarded by mu
+	mu       sync.Mutex
+	heard    map[string]time.Time // by address; guarded by mu
+	standing map[string]standing  // by address; guarded by mu
+}
+
+// standing is how a peer fares with the store.
+type standing struct {
+	heard  time.Time
+	reads  bool
+	outage time.Time // when it last could not read the store; zero for not lately
 }
 
 // New greets peers until Close. The seeds are read anew for each round.
 func New(name, address string, seeds func() []string, client *wire.Client, service Service, inbox *follow.Inbox, clock func() time.Time) *Peers {
 	p := &Peers{
-		name: name, address: address, seeds: seeds, client: client, service: service, inbox: inbox, clock: clock, heard: map[string]time.Time{},
+		name: name, address: address, seeds: seeds, client: client, service: service, inbox: inbox, clock: clock, heard: map[string]time.Time{}, standing: map[string]standing{},
 	}
 	p.tomb.Go(p.run)
 	return p
@@ -159,6 +174,12 @@
 	g := greeting{Name: p.name, Address: p.address, Loads: p.service.State().Loads()}
 	revision, at, complete := p.inbox.Mirror().Proof()
 	g.Revision, g.Age, g.Complete = revision, p.clock().Sub(at), complete
+	now := p.clock()
+	own := p.inbox.Mirror().Standing()
+	g.Reads = own.Reads(now)
+	if since := now.Sub(own.Outage); since < outageKnown {
+		g.Outage = &since
+	}
 	if introduced {
 		g.Known = p.known()
 	}
@@ -182,18 +203,65 @@
 	p.mu.Lock()
 	now := p.clock()
 	p.heard[g.Address] = now
+	p.standing[g.Address] = standingOf(g, now)
 	for _, address := range g.Known {
 		_, known := p.heard[address]
 		if _, err := netip.ParseAddrPort(address); err == nil && !known && address != p.address && len(p.heard) < maxPeers {
 			p.heard[address] = now
 		}
 	}
+	outage := p.outage(now)
 	p.mu.Unlock()
 	p.service.Change(func(s dispatch.State, now time.Time) dispatch.State {
-		return s.WithPeer(g.Name, g.Loads, now)
+		return s.WithPeer(g.Name, g.Loads, now).WithStoreOutage(outage)
 	})
 }
 
+func standingOf(g greeting, now time.Time) standing {
+	s := standing{heard: now, reads: g.Reads}
+	if g.Outage != nil {
+		s.outage = now.Add(-*g.Outage)
+	}
+	return s
+}
+
+// outage returns when an outage of the store was last seen: by some who read it,
+// and by all who do. A store that only turns some away is in no outage. It is
+// called with mu held.
+func (p *Peers) outage(now time.Time) time.Time {
+	last, own := time.Time{}, p.inbox.Mirror().Standing()
+	if own.Reads(now) && now.Sub(own.Outage) > outageKnown {
+		return time.Time{}
+	}
+	for _, s := range p.standing {
+		switch {
+		case now.Sub(s.heard) > heardFresh:
+		case s.reads && s.outage.IsZero():
+			return time.Time{}
+		case s.outage.After(last):
+			last = s.outage
+		}
+	}
+	return last
+}
+
+// Spared reports whether enough others read the store that this gateway needn't:
+// as many as it takes that come before it in an order that all know.
+func (p *Peers) Spared() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, before, own := p.clock(), 0, order(p.address)
+	for address, s := range p.standing {
+		if s.reads && now.Sub(s.heard) < heardFresh && order(address) < own {
+			before++
+		}
+	}
+	return before >= readers
+}
+
+// order returns a number that mixes failure domains, whose addresses lie together.
+func order(address string) uint64 { return xxhash.Sum64String(address) }
+
 // learn takes what a peer has read of the platform since the last own read. Its
 // age counts from before the question, so that it is never taken for newer than
 // it is.
@@ -219,6 +287,7 @@
 	for address, heard := range p.heard {
 		if p.clock().Sub(heard) > forgetAfter {
 			delete(p.heard, address)
+			delete(p.standing, address)
 			continue
 		}
 		list = append(list, address)
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -142,6 +143,74 @@
 	}
 }
 
+// TestFewRead has ten gateways read the store until each knows that enough of the
+// others do, and then the readers stop one after another.
+func TestFewRead(t *testing.T) {
+	seed := start(t, "0", "")
+	gateways := []gateway{seed}
+	for i := range 9 {
+		gateways = append(gateways, start(t, strconv.Itoa(i+1), seed.address))
+	}
+	stopped := map[string]bool{}
+	reading := func() int {
+		n := 0
+		for _, g := range gateways {
+			reads := !stopped[g.address] && !g.peers.Spared()
+			if reads {
+				g.mirror.Stand(follow.Standing{Read: time.Now()})
+				n++
+			}
+		}
+		return n
+	}
+	eventually(t, "six read", func() bool { return reading() == 6 })
+	for range 4 {
+		for _, g := range gateways {
+			if !stopped[g.address] && !g.peers.Spared() {
+				stopped[g.address] = true
+				g.mirror.Stand(follow.Standing{Read: time.Now(), Outage: time.Now()})
+				break
+			}
+		}
+		eventually(t, "another one reads instead", func() bool { return reading() == 6 })
+	}
+}
+
+// TestOutage has peers tell of an outage of the store: removals are believed at
+// once where a peer that reads it saw none.
+func TestOutage(t *testing.T) {
+	later := time.Now().Add(time.Hour) // as if it were just now all the time
+	saw := follow.Standing{Read: later.Add(time.Minute), Outage: later}
+	tests := []struct {
+		name   string
+		other  follow.Standing
+		lapses bool
+	}{
+		{"seen by all who read", saw, true},
+		{"not seen by one who reads", follow.Standing{Read: later}, false},
+		{"still there for another", follow.Standing{Outage: later}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			seed := start(t, "seed", "")
+			other := start(t, "other", seed.address)
+			other.mirror.Stand(tt.other)
+			other.service.send(t)
+			eventually(t, "the other one is heard", func() bool { return chosen(seed) == "b" })
+			time.Sleep(time.Second) // what it told before it knew how it fares is forgotten
+			one := start(t, "one", seed.address)
+			one.mirror.Stand(saw)
+			eventually(t, "the other one's send is known", func() bool { return chosen(one) == "b" })
+			one.service.send(t)
+			eventually(t, "the one is heard", func() bool { return chosen(seed) == "a" })
+			r := seed.service.State().Roster.WithRemoved("a", 9, time.Now())
+			if lapses := len(r.Serving("s", time.Now())) == 2; lapses != tt.lapses {
+				t.Errorf("the removal may be a lapse: %t, want %t", lapses, tt.lapses)
+			}
+		})
+	}
+}
+
 // TestLearn has one gateway read the store for others.
 func TestLearn(t *testing.T) {
 	one := start(t, "one", "")
