--- /dev/null
+++ b/scenario/soak/ranks_test.go
@@ -0,0 +1,282 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	sets, experts, places, spare = 2, 12, 4, 2
+
+	passTime = 20 * time.Millisecond
+	copyTime = 60 * time.Millisecond
+	formTime = 300 * time.Millisecond
+)
+
+// placement is a map of a group: experts by set and rank.
+type placement [][][]int
+
+// rank is one server of the group, as the platform describes it.
+type rank struct {
+	version, newest    uint64
+	lists              [][]int // by set
+	prepared           uint64
+	copied             time.Time
+	armed, armedStep   uint64
+	held               uint64
+	counts             []uint64
+	whole, preparedMap placement
+	reported           map[string]any // what it says of itself to others, a little late
+	reportedAt         time.Time
+}
+
+// group is the ranks, and checks that each pass begins on one map.
+type group struct {
+	mu     sync.Mutex
+	ranks  []*rank    // guarded by mu
+	epoch  uint64     // guarded by mu
+	step   uint64     // guarded by mu
+	open   bool       // guarded by mu
+	maps   int        // guarded by mu; changes of map
+	broken []string   // guarded by mu; what broke
+	luck   *rand.Rand // guarded by mu
+	late   float64    // guarded by mu; share of the orders that get no answer and are carried out late
+	hot    int        // guarded by mu; expert that is liked best
+	begun  time.Time  // guarded by mu; when the last pass began
+	done   chan struct{}
+}
+
+func newGroup(size int, luck *rand.Rand) *group {
+	g := &group{ranks: make([]*rank, size), luck: luck, done: make(chan struct{})}
+	g.form()
+	return g
+}
+
+// form opens the group in a new epoch on map 0.
+func (g *group) form() {
+	g.epoch++
+	first := make(placement, sets)
+	for s := range first {
+		first[s] = make([][]int, len(g.ranks))
+		for e := range experts {
+			first[s][e%len(g.ranks)] = append(first[s][e%len(g.ranks)], e)
+		}
+	}
+	for i := range g.ranks {
+		g.ranks[i] = &rank{whole: first, lists: listsOf(first, i), counts: make([]uint64, sets*experts)}
+	}
+	g.open = true
+}
+
+func listsOf(p placement, rank int) [][]int {
+	var lists [][]int
+	for _, set := range p {
+		lists = append(lists, set[rank])
+	}
+	return lists
+}
+
+// crash ends the epoch; the group forms again a little later.
+func (g *group) crash() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.open {
+		return
+	}
+	g.open = false
+	time.AfterFunc(formTime, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.form()
+	})
+}
+
+// run begins passes until done is closed.
+func (g *group) run() {
+	ticker := time.NewTicker(passTime)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-g.done:
+			return
+		case <-ticker.C:
+			g.pass()
+		}
+	}
+}
+
+func (g *group) pass() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	next := g.step + 1
+	if !g.open || slices.ContainsFunc(g.ranks, func(r *rank) bool { return r.held == next }) {
+		return
+	}
+	g.step, g.begun = next, time.Now()
+	changed := false
+	for i, r := range g.ranks {
+		if r.armed != 0 && r.armedStep == next {
+			r.version, r.whole, r.lists = r.armed, r.preparedMap, listsOf(r.preparedMap, i)
+			r.armed, r.armedStep, r.prepared, changed = 0, 0, 0, true
+		}
+		for s := range sets {
+			r.counts[s*experts+(g.hot+s)%experts] += 40
+			for e := range experts {
+				r.counts[s*experts+e] += 4
+			}
+		}
+	}
+	if changed {
+		g.maps++
+	}
+	for i, r := range g.ranks {
+		if r.version != g.ranks[0].version || fmt.Sprint(r.whole) != fmt.Sprint(g.ranks[0].whole) {
+			g.broken = append(g.broken, fmt.Sprintf("MAP: pass %d begins with rank 0 on map %d and rank %d on map %d", next, g.ranks[0].version, i, r.version))
+		}
+	}
+}
+
+// report answers how a rank is. Others than its own machine hear it late.
+func (g *group) report(w http.ResponseWriter, index int, own bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r, state := g.ranks[index], "open"
+	if !g.open {
+		state = "broken"
+	}
+	now := time.Now()
+	fresh := map[string]any{
+		"group": map[string]any{"name": "g", "epoch": g.epoch, "rank": index, "state": state}, "size": len(g.ranks), "running": 1, "pace": 1,
+		"step": g.step, "map": r.version, "held": r.held,
+	}
+	if r.prepared != 0 && now.After(r.copied) {
+		fresh["prepared"] = r.prepared
+	}
+	if r.armed != 0 {
+		fresh["armed"] = map[string]any{"version": r.armed, "step": r.armedStep}
+	}
+	if r.reported == nil || now.Sub(r.reportedAt) > 200*time.Millisecond {
+		r.reported, r.reportedAt = fresh, now
+	}
+	if !own {
+		fresh = r.reported
+	}
+	_ = json.NewEncoder(w).Encode(fresh)
+}
+
+func (g *group) picked(w http.ResponseWriter, index int, lists bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.ranks[index]
+	answer := map[string]any{"step": g.step, "epoch": g.epoch, "counts": r.counts}
+	if lists {
+		answer = map[string]any{"map": map[string]any{"version": r.version, "experts": r.lists}}
+	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+// order is an order to a rank.
+type order struct {
+	Operation string    `json:"operation"`
+	Version   uint64    `json:"version"`
+	Epoch     uint64    `json:"epoch"`
+	Step      uint64    `json:"step"`
+	Map       placement `json:"map"`
+}
+
+func (g *group) order(w http.ResponseWriter, r *http.Request, index int) {
+	var o order
+	text, _ := io.ReadAll(r.Body)
+	if json.Unmarshal(text, &o) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	g.mu.Lock()
+	late := g.luck.Float64() < g.late
+	after := time.Duration(g.luck.IntN(3000)) * time.Millisecond
+	g.mu.Unlock()
+	if late {
+		time.AfterFunc(after, func() { g.carryOut(o, index) })
+		<-r.Context().Done()
+		return
+	}
+	w.WriteHeader(g.carryOut(o, index))
+}
+
+func (g *group) carryOut(o order, index int) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.ranks[index]
+	if !g.open || o.Epoch != g.epoch {
+		return http.StatusConflict
+	}
+	switch o.Operation {
+	case "prepare":
+		return g.prepare(o, index)
+	case "arm":
+		if o.Version != r.prepared || time.Now().Before(r.copied) || o.Step <= g.step {
+			return http.StatusConflict
+		}
+		r.armed, r.armedStep = o.Version, o.Step
+	case "disarm":
+		if r.version == o.Version {
+			return http.StatusConflict
+		}
+		if r.armed == o.Version {
+			r.armed, r.armedStep = 0, 0
+		}
+	case "hold":
+		if o.Step <= g.step || r.held != 0 && r.held != o.Step {
+			return http.StatusConflict
+		}
+		r.held = o.Step
+	case "go":
+		if r.held == o.Step {
+			r.held = 0
+		}
+	}
+	return http.StatusOK
+}
+
+// prepare is called with mu held.
+func (g *group) prepare(o order, index int) int {
+	r := g.ranks[index]
+	if o.Version == r.prepared {
+		return http.StatusOK
+	}
+	if o.Version <= r.newest || r.armed != 0 || len(o.Map) != sets {
+		return http.StatusConflict
+	}
+	for s, set := range o.Map {
+		fresh, held := 0, map[int]bool{}
+		for _, list := range set {
+			for _, e := range list {
+				held[e] = true
+			}
+		}
+		for _, e := range set[index] {
+			if !slices.Contains(r.lists[s], e) {
+				fresh++
+			}
+		}
+		if len(held) != experts || fresh > spare || len(set[index]) > places {
+			g.broken = append(g.broken, fmt.Sprintf("ORDER: map %d is none: set %d is %v", o.Version, s, set))
+			return http.StatusConflict
+		}
+	}
+	r.newest, r.prepared, r.preparedMap, r.copied = o.Version, o.Version, o.Map, time.Now().Add(copyTime)
+	return http.StatusAccepted
+}
+
+// standsStill reports whether no pass began for a while though the group is open.
+func (g *group) standsStill(most time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.open && time.Since(g.begun) > most
+}
--- /dev/null
+++ b/scenario/soak/target_test.go
@@ -0,0 +1,170 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	slots  = 8
+	events = 10 // of one stream
+	gap    = 15 * time.Millisecond
+)
+
+// server stands in for one of the platform's servers.
+type server struct {
+	world   *world
+	service string
+	zone    string
+	address string // registered: that of its relay
+	listen  string
+	rank    int // in the group; -1 for none
+
+	replacing sync.Mutex // held while one incarnation follows another
+
+	mu      sync.Mutex
+	id      string       // guarded by mu
+	serving *http.Server // guarded by mu; nil while it is down
+	leaving time.Time    // guarded by mu; when the store acknowledged that it leaves
+	running int          // guarded by mu
+	slow    bool         // guarded by mu
+	grey    bool         // guarded by mu; half of its answers fail
+}
+
+// start begins a new incarnation and registers it.
+func (s *server) start(id string) error {
+	listener, err := net.Listen("tcp", s.listen)
+	if err != nil {
+		return err
+	}
+	serving := &http.Server{Handler: s}
+	s.mu.Lock()
+	s.id, s.serving, s.leaving, s.running = id, serving, time.Time{}, 0
+	s.mu.Unlock()
+	go func() { _ = serving.Serve(listener) }()
+	s.register("ready")
+	return nil
+}
+
+func (s *server) register(state string) {
+	s.world.store.put("servers/"+s.name(), map[string]any{
+		"service": s.service, "address": s.address, "zone": s.zone, "slots": slots, "state": state, "born": time.Now().UnixMilli(),
+	})
+}
+
+func (s *server) name() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.id
+}
+
+// leave reports draining, and ends a while later.
+func (s *server) leave() {
+	s.register("draining")
+	s.mu.Lock()
+	s.leaving = time.Now()
+	s.mu.Unlock()
+}
+
+// stop ends the incarnation, with all its connections.
+func (s *server) stop() {
+	s.mu.Lock()
+	serving := s.serving
+	s.serving = nil
+	s.mu.Unlock()
+	if serving != nil {
+		_ = serving.Close()
+	}
+	if s.rank >= 0 {
+		s.world.group.crash()
+	}
+}
+
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	caller, _, _ := strings.Cut(r.RemoteAddr, ":")
+	own, _, _ := strings.Cut(s.address, ":")
+	switch r.URL.Path {
+	case "/hornbeamtray/report":
+		if s.rank >= 0 {
+			s.world.group.report(w, s.rank, caller == own)
+		}
+	case "/hornbeamtray/picked":
+		if s.rank >= 0 {
+			s.world.group.picked(w, s.rank, r.FormValue("lists") != "")
+		}
+	case "/hornbeamtray/order":
+		if s.rank >= 0 {
+			s.world.group.order(w, r, s.rank)
+		}
+	default:
+		s.serve(w, r, caller)
+	}
+}
+
+// serve runs a request, or says that it does not.
+func (s *server) serve(w http.ResponseWriter, r *http.Request, caller string) {
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	s.mu.Lock()
+	expected, leaving, slow, grey := r.Header.Get("Expect-Instance") == s.id, s.leaving, s.slow, s.grey
+	full := s.running >= slots
+	if expected && !full {
+		s.running++
+	}
+	s.mu.Unlock()
+	if !expected || full {
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(map[bool]int{true: http.StatusServiceUnavailable, false: http.StatusMisdirectedRequest}[expected])
+		return
+	}
+	defer func() {
+		s.mu.Lock()
+		s.running--
+		s.mu.Unlock()
+	}()
+	n := s.world.ledger.ran(id, r.Header.Get("Tenant"), s, caller, leaving)
+	if slow {
+		time.Sleep(100 * time.Millisecond)
+	}
+	if grey && n%2 == 0 {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Server-Stamp", s.address+"."+id)
+	if strings.HasPrefix(r.URL.Path, "/flow/") {
+		s.stream(w, r, id)
+		return
+	}
+	time.Sleep(5 * time.Millisecond)
+	_, _ = fmt.Fprint(w, answerTo(id, r.Header.Get("Tenant")))
+}
+
+func answerTo(id, tenant string) string { return strings.Repeat(id+" for "+tenant+"\n", 20) }
+
+func (s *server) stream(w http.ResponseWriter, r *http.Request, id string) {
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	for n := after + 1; n <= events; n++ {
+		if wait(r.Context(), gap) != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", n, id, n)
+		_ = control.Flush()
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
