Greet peers by turns on large sites

Cause: each gateway greeted all others at each send.

Change: a round of sends greets 12 peers by turns (all of a small site), the ticker's round 24, first those that read the store; whom a gateway knows is told in every fifth of these.

Test, failing without the bound: TestGreetingsAreFew, 40 peers.

--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -23,14 +23,17 @@
 )
 
 const (
-	greetPace   = 400 * time.Millisecond // between greetings while nothing is sent to targets
-	leastPace   = 15 * time.Millisecond  // between greetings while much is sent; a target gets few requests in it
-	callTimeout = 300 * time.Millisecond // well above a round trip between failure domains
-	forgetAfter = 30 * time.Second       // a peer that was not heard for so long is no longer greeted
-	maxPeers    = 512
-	readers     = 6               // gateways that read the store; the loss of a failure domain leaves some
-	heardFresh  = time.Second     // a peer that was not heard for so long may read no more
-	outageKnown = 2 * time.Second // for so long after an outage entries that lapsed in it come back
+	greetPace      = 400 * time.Millisecond // between greetings while nothing is sent to targets
+	leastPace      = 15 * time.Millisecond  // between greetings while much is sent; a target gets few requests in it
+	callTimeout    = 300 * time.Millisecond // well above a round trip between failure domains
+	forgetAfter    = 30 * time.Second       // a peer that was not heard for so long is no longer greeted
+	maxPeers       = 512
+	readers        = 6               // gateways that read the store; the loss of a failure domain leaves some
+	introduceEvery = 5               // greetPaces between rounds in which a gateway tells whom it knows
+	sendFan        = 12              // peers greeted as requests are sent, by turns; all of a small site
+	tickFan        = 24              // peers greeted at each greetPace, by turns but for those that read the store
+	heardFresh     = time.Second     // a peer that was not heard for so long may read no more
+	outageKnown    = 2 * time.Second // for so long after an outage entries that lapsed in it come back
 )
 
 // Names of the calls.
@@ -97,6 +100,7 @@
 	mu       sync.Mutex
 	heard    map[string]time.Time // by address; guarded by mu
 	standing map[string]standing  // by address; guarded by mu
+	turn     int                  // peers greeted so far; owned by run
 }
 
 // standing is how a peer fares with the store.
@@ -130,18 +134,19 @@
 	ctx := p.tomb.Context(context.Background())
 	ticker := time.NewTicker(greetPace)
 	defer ticker.Stop()
-	introduced := true
-	for {
+	ticked := true
+	for ticks := 0; ; {
 		sending := p.service.Sending()
-		g := p.greeting(introduced)
-		for _, address := range p.known() {
+		g := p.greeting(ticked && ticks%introduceEvery == 0)
+		for _, address := range p.next(ticked) {
 			p.tomb.Go(round{peers: p, address: address, greeting: g}.run)
 		}
 		clock.Pause(ctx, leastPace)
-		introduced = false
+		ticked = false
 		select {
 		case <-ticker.C:
-			introduced = true
+			ticked = true
+			ticks++
 		case <-sending:
 		case <-ctx.Done():
 			return nil
@@ -149,6 +154,35 @@
 	}
 }
 
+// next returns the peers to greet now. Each has its turn, so that what a gateway
+// says grows no faster than the number of gateways; those that read the store
+// are asked at each greetPace, since what is new comes from them.
+func (p *Peers) next(ticked bool) []string {
+	known, most := p.known(), sendFan
+	var list []string
+	if ticked {
+		most = tickFan
+		p.mu.Lock()
+		for _, address := range known {
+			if p.standing[address].reads && len(list) < readers {
+				list = append(list, address)
+			}
+		}
+		p.mu.Unlock()
+	}
+	for range known {
+		if len(list) >= most {
+			break
+		}
+		address := known[p.turn%len(known)]
+		p.turn++
+		if !slices.Contains(list, address) {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
 // round is one greeting of one peer.
 type round struct {
 	peers    *Peers
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -1,6 +1,7 @@
 package peers_test
 
 import (
+	"context"
 	"net"
 	"strconv"
 	"sync"
@@ -211,6 +212,43 @@
 	}
 }
 
+// TestGreetingsAreFew counts how often gateways of a large site are greeted: what
+// one says must not grow with their number, and nobody may be left out.
+func TestGreetingsAreFew(t *testing.T) {
+	const size = 40
+	var mu sync.Mutex
+	greeted := map[int]int{} // by the peer's index
+	var addresses []string
+	for i := range size {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := wire.NewHandlersServer(listener, wire.Handlers{"/gateway/Greet": func(_ context.Context, read func(any) error) (any, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			greeted[i]++
+			return struct{}{}, read(&struct{}{})
+		}})
+		t.Cleanup(func() { _ = server.Close() })
+		addresses = append(addresses, listener.Addr().String())
+	}
+	s := &service{state: dispatch.New("one", "d", dispatch.Bounds{}), sent: make(chan struct{})}
+	client := wire.NewClient()
+	p := peers.New("one", "127.0.0.1:1", func() []string { return addresses }, client, s, follow.NewInbox(follow.NewMirror(), s, decode, time.Now), time.Now)
+	time.Sleep(2200 * time.Millisecond) // five or six rounds
+	_, _ = p.Close(), client.Close()
+	mu.Lock()
+	defer mu.Unlock()
+	total := 0
+	for _, n := range greeted {
+		total += n
+	}
+	if len(greeted) != size || total > 7*24 {
+		t.Errorf("%d of %d peers were greeted, %d times in all, want all and at most 24 a round", len(greeted), size, total)
+	}
+}
+
 // TestLearn has one gateway read the store for others.
 func TestLearn(t *testing.T) {
 	one := start(t, "one", "")
