Ask one peer at a time for news, packed; read the store when that fails

A configuration of hundreds of routes came in a storm of versions. Each spared gateway asked every peer that told of the new version for it, at the same time, with 0.3 s for the answer; over links of 40 Mbit/s few came through, and only old proof (2.2 s) sent it to the store.

Change: one question for news at a time, with 1 s for the answer; values over 4 KB are packed, once for all who ask; a gateway that peers have been ahead of for 0.5 s is not spared.

The files of the package are split by what they do.

--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -13,7 +13,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"gopkg.in/tomb.v2"
 
 	"hornbeamtray/adapter/clock"
@@ -26,6 +25,8 @@
 	greetPace      = 400 * time.Millisecond // between greetings while nothing is sent to targets
 	leastPace      = 15 * time.Millisecond  // between greetings while much is sent; a target gets few requests in it
 	callTimeout    = 300 * time.Millisecond // well above a round trip between failure domains
+	relayTimeout   = time.Second            // a configuration of a megabyte over a narrow link
+	behindTime     = 500 * time.Millisecond // for so long a peer may know more before the store is read
 	forgetAfter    = 30 * time.Second       // a peer that was not heard for so long is no longer greeted
 	maxPeers       = 512
 	readers        = 6               // gateways that read the store; the loss of a failure domain leaves some
@@ -57,26 +58,6 @@
 	Outage *time.Duration `json:"outage,omitempty"` // since it last could not, if that is not long ago
 }
 
-// question asks for what changed after a revision.
-type question struct {
-	After uint64 `json:"after"`
-}
-
-// relayed is what a gateway knows of the platform.
-type relayed struct {
-	Complete bool          `json:"complete"`
-	Items    []item        `json:"items"`
-	Revision uint64        `json:"revision"`
-	Age      time.Duration `json:"age"` // since the read that proved it began
-}
-
-type item struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value,omitempty"`
-	Revision uint64 `json:"revision"`
-	Removed  bool   `json:"removed,omitempty"`
-}
-
 // Service is the gateway that peers are told of.
 type Service interface {
 	State() dispatch.State
@@ -100,14 +81,11 @@
 	mu       sync.Mutex
 	heard    map[string]time.Time // by address; guarded by mu
 	standing map[string]standing  // by address; guarded by mu
+	behind   time.Time            // since when peers know more; zero while they don't; guarded by mu
 	turn     int                  // peers greeted so far; owned by run
-}
 
-// standing is how a peer fares with the store.
-type standing struct {
-	heard  time.Time
-	reads  bool
-	outage time.Time // when it last could not read the store; zero for not lately
+	learning sync.Mutex // held while a peer is asked for news, so that one is at a time
+	packed   packed     // has its own lock
 }
 
 // New greets peers until Close. The seeds are read anew for each round.
@@ -197,7 +175,7 @@
 	var answer greeting
 	if r.peers.client.Call(ctx, r.address, greetCall, r.greeting, &answer) == nil {
 		r.peers.note(answer)
-		r.peers.learn(ctx, r.address, answer, asked)
+		r.peers.learn(r.address, answer, asked)
 	}
 	return nil // a peer that gives no answer is greeted again in the next round
 }
@@ -245,74 +223,15 @@
 		}
 	}
 	outage := p.outage(now)
+	if ahead := g.Complete && g.Revision > p.inbox.Mirror().Revision(); ahead && p.behind.IsZero() {
+		p.behind = now
+	}
 	p.mu.Unlock()
 	p.service.Change(func(s dispatch.State, now time.Time) dispatch.State {
 		return s.WithPeer(g.Name, g.Loads, now).WithStoreOutage(outage)
 	})
 }
 
-func standingOf(g greeting, now time.Time) standing {
-	s := standing{heard: now, reads: g.Reads}
-	if g.Outage != nil {
-		s.outage = now.Add(-*g.Outage)
-	}
-	return s
-}
-
-// outage returns when an outage of the store was last seen: by some who read it,
-// and by all who do. A store that only turns some away is in no outage. It is
-// called with mu held.
-func (p *Peers) outage(now time.Time) time.Time {
-	last, own := time.Time{}, p.inbox.Mirror().Standing()
-	if own.Reads(now) && now.Sub(own.Outage) > outageKnown {
-		return time.Time{}
-	}
-	for _, s := range p.standing {
-		switch {
-		case now.Sub(s.heard) > heardFresh:
-		case s.reads && s.outage.IsZero():
-			return time.Time{}
-		case s.outage.After(last):
-			last = s.outage
-		}
-	}
-	return last
-}
-
-// Spared reports whether enough others read the store that this gateway needn't:
-// as many as it takes that come before it in an order that all know.
-func (p *Peers) Spared() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now, before, own := p.clock(), 0, order(p.address)
-	for address, s := range p.standing {
-		if s.reads && now.Sub(s.heard) < heardFresh && order(address) < own {
-			before++
-		}
-	}
-	return before >= readers
-}
-
-// order returns a number that mixes failure domains, whose addresses lie together.
-func order(address string) uint64 { return xxhash.Sum64String(address) }
-
-// learn takes what a peer has read of the platform since the last own read. Its
-// age counts from before the question, so that it is never taken for newer than
-// it is.
-func (p *Peers) learn(ctx context.Context, address string, g greeting, asked time.Time) {
-	revision, at, _ := p.inbox.Mirror().Proof()
-	proved := asked.Add(-g.Age)
-	switch {
-	case !g.Complete || !proved.After(at) || g.Revision < revision:
-	case g.Revision == revision:
-		p.inbox.Take(follow.Batch{Revision: revision, At: proved})
-	default:
-		if batch, found := p.ask(ctx, address, revision); found {
-			p.inbox.Take(batch)
-		}
-	}
-}
-
 // known returns the addresses of other gateways, sorted.
 func (p *Peers) known() []string {
 	p.mu.Lock()
@@ -334,67 +253,3 @@
 	slices.Sort(list)
 	return list
 }
-
-func (p *Peers) relay(_ context.Context, read func(any) error) (any, error) {
-	var q question
-	if err := read(&q); err != nil {
-		return nil, err
-	}
-	batch, complete := p.inbox.Mirror().Since(q.After)
-	answer := relayed{Complete: complete, Revision: batch.Revision, Age: p.clock().Sub(batch.At)}
-	for _, it := range batch.Items {
-		answer.Items = append(answer.Items, item(it))
-	}
-	return answer, nil
-}
-
-// Relayed returns the newest that any peer knows after a revision, and whether
-// there is any. Its age counts from before the question, so that it is never
-// taken for newer than it is.
-func (p *Peers) Relayed(ctx context.Context, after uint64) (follow.Batch, bool) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	answers := make(chan follow.Batch)
-	addresses := p.known()
-	for _, address := range addresses {
-		p.tomb.Go(ask{peers: p, ctx: ctx, address: address, after: after, answers: answers}.run)
-	}
-	var best follow.Batch
-	for range addresses {
-		if batch := <-answers; batch.At.After(best.At) {
-			best = batch
-		}
-	}
-	return best, !best.At.IsZero()
-}
-
-// ask is one question to one peer. It always sends one batch, an empty one where
-// the peer gave no answer.
-type ask struct {
-	peers   *Peers
-	ctx     context.Context
-	address string
-	after   uint64
-	answers chan<- follow.Batch
-}
-
-func (a ask) run() error {
-	batch, _ := a.peers.ask(a.ctx, a.address, a.after)
-	a.answers <- batch
-	return nil
-}
-
-// ask asks one peer for what changed after a revision, and reports whether it
-// knows everything up to its own.
-func (p *Peers) ask(ctx context.Context, address string, after uint64) (follow.Batch, bool) {
-	asked := p.clock()
-	var answer relayed
-	if err := p.client.Call(ctx, address, relayCall, question{After: after}, &answer); err != nil || !answer.Complete {
-		return follow.Batch{}, false // another peer, or the store, may know more
-	}
-	batch := follow.Batch{Revision: answer.Revision, At: asked.Add(-answer.Age)}
-	for _, it := range answer.Items {
-		batch.Items = append(batch.Items, follow.Item(it))
-	}
-	return batch, true
-}
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -1,10 +1,14 @@
 package peers_test
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -249,6 +253,74 @@
 	}
 }
 
+// crowd starts peers that read the store and know revision 7, and returns their
+// addresses. Relays of what they know are answered by relay.
+func crowd(t *testing.T, size int, relay wire.Handler) []string {
+	t.Helper()
+	var addresses []string
+	for i := range size {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := listener.Addr().String()
+		server := wire.NewHandlersServer(listener, wire.Handlers{
+			"/gateway/Relay": relay,
+			"/gateway/Greet": func(_ context.Context, read func(any) error) (any, error) {
+				return map[string]any{"name": strconv.Itoa(i), "address": address, "complete": true, "revision": 7, "age": 0, "reads": true}, read(&struct{}{})
+			},
+		})
+		t.Cleanup(func() { _ = server.Close() })
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
+
+// TestOnePeerIsAskedForNews has many peers tell of the same news at once: it is
+// asked for once, and again only after a failure. One who can't get it reads the
+// store.
+func TestOnePeerIsAskedForNews(t *testing.T) {
+	long := []byte(strings.Repeat(`{"host": "a.example", "path_prefix": "/"}`, 10_000))
+	tests := []struct {
+		name   string
+		fails  bool
+		asked  int32 // at most, in two seconds
+		spared bool
+	}{
+		{"answered", false, 1, true},
+		{"not answered", true, 10, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var asked atomic.Int32
+			source := start(t, "source", "")
+			source.mirror.Take(follow.Batch{Whole: true, Revision: 7, At: time.Now(), Items: []follow.Item{{Key: "op/config", Value: long, Revision: 7}}})
+			addresses := crowd(t, 20, func(ctx context.Context, read func(any) error) (any, error) {
+				asked.Add(1)
+				time.Sleep(50 * time.Millisecond)
+				if tt.fails {
+					return nil, errors.New("not now")
+				}
+				return source.peers.Handlers()["/gateway/Relay"](ctx, read)
+			})
+			s := &service{state: dispatch.New("one", "d", dispatch.Bounds{}), sent: make(chan struct{})}
+			client, mirror := wire.NewClient(), follow.NewMirror()
+			const own = "127.0.0.1:6" // comes late in the order of those who read
+			p := peers.New("one", own, func() []string { return addresses }, client, s, follow.NewInbox(mirror, s, decode, time.Now), time.Now)
+			defer client.Close()
+			defer p.Close()
+			time.Sleep(2 * time.Second)
+			batch, _ := mirror.Since(0)
+			if known := len(batch.Items) == 1 && bytes.Equal(batch.Items[0].Value, long); known == tt.fails || asked.Load() > tt.asked {
+				t.Errorf("known %t after %d questions, want at most %d", known, asked.Load(), tt.asked)
+			}
+			if spared := p.Spared(); spared != tt.spared {
+				t.Errorf("spared is %t, want %t", spared, tt.spared)
+			}
+		})
+	}
+}
+
 // TestLearn has one gateway read the store for others.
 func TestLearn(t *testing.T) {
 	one := start(t, "one", "")
