Send a silent target nothing more while others have room

A frozen machine keeps what it was sent in its socket and reads it when it goes on. Each gateway sent such a server more requests until three attempts in a row had failed, 1.9 s each; attempts whose callers left early counted as nothing.

Ruled out: sends after the client's close (the gateway closed its connection to the second server 3 ms after the client had left); a queue at the gateway (no wait in its lines).

Change: a target that gave no sign (any byte of any answer) for 0.5 s after a send comes last until 3.5 s after it, at the gateway and at peers, to whom greetings tell it. Where no other has room it still gets work.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -19,6 +19,11 @@
 	coldWindow   = time.Second            // the bound on cold targets counts the requests of any such span
 	fewestShares = 8                      // the bound on cold targets is divided by at least as many gateways
 	ejectDivisor = 2                      // at most one target of a service in so many is ejected
+	// A target that gave no sign for so long may stand still with what it was sent:
+	// four times what a first part takes, and a quarter of what callers wait.
+	silentAfter   = 500 * time.Millisecond
+	silentFor     = 3500 * time.Millisecond // from the send; then one more may find out
+	silentPenalty = 1000                    // requests by which a silent target counts as fuller: it comes last
 )
 
 // View is what the gateway knows of one target by its own requests.
@@ -26,12 +31,15 @@
 	Own      int // Own counts own requests at the target now.
 	Attempts eject.Record
 	sends    []time.Time // within coldWindow; never written after construction
+	asked    time.Time   // first send since the target last gave a sign; zero after a sign
 }
 
 // peer is what another gateway said of itself.
 type peer struct {
 	loads map[string]int // its requests in flight by target; never written after construction
 	heard time.Time
+
+	silent map[string]bool // targets that it finds silent; never written after construction
 }
 
 // View returns what the gateway knows of one target.
@@ -53,12 +61,17 @@
 }
 
 // WithPeer returns the state after another gateway told its requests in flight.
-func (s State) WithPeer(name string, loads map[string]int, now time.Time) State {
+// It names the targets that it finds silent.
+func (s State) WithPeer(name string, loads map[string]int, silent []string, now time.Time) State {
 	peers := make(map[string]peer, len(s.peers)+1)
 	for other, p := range s.peers {
 		peers[other] = p
 	}
-	peers[name] = peer{loads: loads, heard: now}
+	p := peer{loads: loads, heard: now, silent: map[string]bool{}}
+	for _, id := range silent {
+		p.silent[id] = true
+	}
+	peers[name] = p
 	s.peers = peers
 	return s
 }
@@ -95,6 +108,9 @@
 		if t.Domain != s.Domain {
 			load += farPenalty
 		}
+		if s.silent(t.ID, now) {
+			load += silentPenalty
+		}
 		if now.Before(t.Cold) {
 			load += coldPenalty
 		}
@@ -107,11 +123,56 @@
 	t, _ := s.Roster.Target(chosen.Target)
 	view := s.View(t.ID)
 	view.Own++
+	if now.Sub(view.asked) > silentFor {
+		view.asked = now
+	}
 	view.sends = append(recentSends(view.sends, now), now)
 	s.views = s.views.Set(t.ID, view)
 	return s, t, nil
 }
 
+// silent reports whether a target gave no sign since it was last sent something,
+// to this gateway or to a peer.
+func (s State) silent(id string, now time.Time) bool {
+	if s.View(id).silent(now) {
+		return true
+	}
+	for _, p := range s.peers {
+		if p.silent[id] && now.Sub(p.heard) <= silentAfter {
+			return true
+		}
+	}
+	return false
+}
+
+func (v View) silent(now time.Time) bool {
+	waiting := now.Sub(v.asked)
+	return !v.asked.IsZero() && waiting > silentAfter && waiting <= silentFor
+}
+
+// Silent returns the targets that gave this gateway no sign, sorted.
+func (s State) Silent(now time.Time) []string {
+	var list []string
+	for i := s.views.Iterator(); !i.Done(); {
+		if id, view, _ := i.Next(); view.silent(now) {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// WithSign returns the state after a target sent anything.
+func (s State) WithSign(id string) State {
+	if view, found := s.views.Get(id); found && !view.asked.IsZero() {
+		view.asked = time.Time{}
+		s.views = s.views.Set(id, view)
+	}
+	return s
+}
+
+// Asked reports whether a target has given no sign since it was last sent something.
+func (s State) Asked(id string) bool { return !s.View(id).asked.IsZero() }
+
 // room returns how many requests a target may have before it gets one more. Late
 // ones leave the queue to those that can be on time.
 func room(t roster.Target, late bool) int {
--- a/core/dispatch/state_test.go
+++ b/core/dispatch/state_test.go
@@ -127,7 +127,7 @@
 
 func TestChoose(t *testing.T) {
 	load := func(s dispatch.State, id string, n int) dispatch.State {
-		return s.WithPeer("p-"+id, map[string]int{id: n}, at(0))
+		return s.WithPeer("p-"+id, map[string]int{id: n}, nil, at(0))
 	}
 	tests := []struct {
 		name  string
@@ -172,7 +172,7 @@
 	const gateways = 12 // no site of today has more
 	most := int(38*bounds.ColdOvershoot + bounds.ColdSlack)
 	for i := range gateways - 1 {
-		s = s.WithPeer(fmt.Sprint(i), nil, at(0))
+		s = s.WithPeer(fmt.Sprint(i), nil, nil, at(0))
 	}
 	a := dispatch.Admission{Service: "cold"}
 	var sent []int
@@ -300,6 +300,38 @@
 	}
 }
 
+// TestSilentTargetComesLast sends a request to a target that stands still. What
+// follows goes elsewhere until it gives a sign or may be tried again.
+func TestSilentTargetComesLast(t *testing.T) {
+	_, fresh, _ := state().Admit(dispatch.Request{Host: "h", Path: "/open/"}, 0, at(0))
+	sent, first, _ := state().Choose(fresh, []string{"b"}, fixed{}, at(0))
+	sent = sent.WithAttempt(first.ID, false, at(100)) // its caller left
+	tests := []struct {
+		name  string
+		state dispatch.State
+		now   int
+		want  string
+	}{
+		{"just sent", sent, 400, "a"},
+		{"silent", sent, 600, "b"},
+		{"a sign since", sent.WithSign("a"), 600, "a"},
+		{"a peer finds it silent", state().WithPeer("p", nil, sent.Silent(at(600)), at(600)), 700, "b"},
+		{"a peer that was not heard since", state().WithPeer("p", nil, []string{"a"}, at(0)), 700, "a"},
+		{"to be tried again", sent, 3600, "a"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, chosen, refused := tt.state.Choose(fresh, nil, fixed{}, at(tt.now))
+			if refused != nil || chosen.ID != tt.want {
+				t.Errorf("chosen is %q, refused %v, want %q", chosen.ID, refused, tt.want)
+			}
+		})
+	}
+	if _, only, refused := sent.Choose(fresh, []string{"b"}, fixed{}, at(600)); refused != nil || only.ID != "a" {
+		t.Errorf("where there is no other, chosen is %q, refused %v", only.ID, refused)
+	}
+}
+
 // TestRoom keeps the queue of a full target for requests that can be on time.
 func TestRoom(t *testing.T) {
 	_, fresh, _ := state().Admit(dispatch.Request{Host: "h", Path: "/open/"}, 0, at(0))
@@ -316,7 +348,7 @@
 		{"late, slots full", fresh.WithLate(), 2, false},
 	}
 	for _, tt := range tests {
-		s := state().WithPeer("p", map[string]int{"a": tt.load}, at(0))
+		s := state().WithPeer("p", map[string]int{"a": tt.load}, nil, at(0))
 		if _, _, refused := s.Choose(tt.a, []string{"b"}, fixed{}, at(0)); (refused == nil) != tt.want {
 			t.Errorf("%s: refusal is %v, want room %t", tt.name, refused, tt.want)
 		}
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -47,8 +47,9 @@
 type greeting struct {
 	Name    string         `json:"name"`
 	Address string         `json:"address"`
-	Loads   map[string]int `json:"loads"`           // requests in flight by target
-	Known   []string       `json:"known,omitempty"` // addresses of other gateways
+	Loads   map[string]int `json:"loads"`            // requests in flight by target
+	Silent  []string       `json:"silent,omitempty"` // targets that gave no sign
+	Known   []string       `json:"known,omitempty"`  // addresses of other gateways
 
 	Complete bool          `json:"complete"` // the gateway knows all that is published
 	Revision uint64        `json:"revision"` // up to which it does
@@ -183,7 +184,7 @@
 // greeting returns what the gateway tells of itself, and of others where it
 // introduces itself.
 func (p *Peers) greeting(introduced bool) greeting {
-	g := greeting{Name: p.name, Address: p.address, Loads: p.service.State().Loads()}
+	g := greeting{Name: p.name, Address: p.address, Loads: p.service.State().Loads(), Silent: p.service.State().Silent(p.clock())}
 	revision, at, complete := p.inbox.Mirror().Proof()
 	g.Revision, g.Age, g.Complete = revision, p.clock().Sub(at), complete
 	now := p.clock()
@@ -228,7 +229,7 @@
 	}
 	p.mu.Unlock()
 	p.service.Change(func(s dispatch.State, now time.Time) dispatch.State {
-		return s.WithPeer(g.Name, g.Loads, now).WithStoreOutage(outage)
+		return s.WithPeer(g.Name, g.Loads, g.Silent, now).WithStoreOutage(outage)
 	})
 }
 
--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -208,6 +208,7 @@
 		return d.end(retry.Broken), false
 	}
 	defer reply.Close()
+	d.service.sign(d.target.ID)
 	head := reply.Head()
 	switch {
 	case head.NotRun:
@@ -312,6 +313,9 @@
 		dog.expect(d.eventWait())
 		n, err := reply.Read(buffer)
 		dog.rest()
+		if n > 0 {
+			d.service.sign(d.target.ID)
+		}
 		if whole := splitter.Take(buffer[:n]); len(whole) > 0 {
 			if !d.deliver(reply.Head(), whole, splitter.Last()) {
 				return d.end(retry.Abandoned), false
--- a/gateway/serve/service.go
+++ b/gateway/serve/service.go
@@ -208,6 +208,13 @@
 	})
 }
 
+// sign notes that a target sent something.
+func (s *Service) sign(target string) {
+	if s.State().Asked(target) {
+		s.Change(func(state dispatch.State, _ time.Time) dispatch.State { return state.WithSign(target) })
+	}
+}
+
 func (s *Service) release() {
 	s.Change(func(state dispatch.State, _ time.Time) dispatch.State { return state.Released() })
 }
