Run all HTTP servers by one piece; keep one type for a group's shape

Cause: platform/front wrote again how entry/front and adapter/probe run, drain and close an HTTP server, and steward/lead.Shape copied route.Engine field by field.

Ruled out: merging the handlers, which differ in all but this.

Behaviour is as before; tests keep their assertions. Tests of adapter, entry, platform and steward are green with -race.

--- a/adapter/probe/probe.go
+++ b/adapter/probe/probe.go
@@ -11,12 +11,11 @@
 	"net/http"
 	"time"
 
-	"github.com/gravitational/trace"
 	"goji.io"
 	"goji.io/pat"
-	"gopkg.in/tomb.v2"
 
 	"hornbeamtray/adapter/platform"
+	"hornbeamtray/adapter/socket"
 	"hornbeamtray/core/trail"
 )
 
@@ -37,9 +36,7 @@
 
 // Server serves one Source.
 type Server struct {
-	tomb     tomb.Tomb
-	listener net.Listener
-	server   *http.Server
+	server *socket.Server
 }
 
 // Option adds to what a Server serves.
@@ -61,26 +58,15 @@
 	mux.Handle(pat.Get("/metrics"), metrics)
 	mux.Handle(pat.Get("/show"), show{source})
 	mux.Handle(pat.Get("/trail"), changes{source})
-	s := &Server{listener: listener, server: &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}}
-	s.tomb.Go(s.run)
-	return s
+	return &Server{server: socket.Serve(listener, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})}
 }
 
 // Close stops serving and waits.
 func (s *Server) Close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
-	s.tomb.Kill(nil)
-	_ = s.server.Shutdown(ctx)
-	_ = s.server.Close() // ends the waits of peers
-	return s.tomb.Wait()
-}
-
-func (s *Server) run() error {
-	if err := s.server.Serve(s.listener); err != nil && s.tomb.Alive() {
-		return trace.Wrap(err)
-	}
-	return nil
+	_ = s.server.Drain(ctx)
+	return s.server.Close() // ends the waits of peers
 }
 
 func live(w http.ResponseWriter, _ *http.Request) {
--- a/adapter/socket/socket.go
+++ b/adapter/socket/socket.go
@@ -1,5 +1,6 @@
 // Package socket bounds what the kernel holds for a connection, so that slow
-// readers hold writers back early instead of filling an instance's memory.
+// readers hold writers back early instead of filling an instance's memory, and
+// runs HTTP servers on such connections.
 package socket
 
 import (
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -17,8 +17,8 @@
 	"github.com/gravitational/trace"
 	"goji.io"
 	"goji.io/pat"
-	"gopkg.in/tomb.v2"
 
+	"hornbeamtray/adapter/socket"
 	"hornbeamtray/adapter/wire"
 	"hornbeamtray/core/refusal"
 	"hornbeamtray/core/ticket"
@@ -51,13 +51,12 @@
 
 // Server serves callers on one listener.
 type Server struct {
-	tomb     tomb.Tomb
-	listener net.Listener
-	server   *http.Server
-	service  Service
-	meter    Meter
-	body     int64
-	stall    time.Duration
+	*socket.Server
+
+	service Service
+	meter   Meter
+	body    int64
+	stall   time.Duration
 }
 
 // Option configures a Server.
@@ -75,15 +74,14 @@
 
 // New serves callers on listener until Close.
 func New(listener net.Listener, service Service, meter Meter, options ...Option) *Server {
-	s := &Server{listener: listener, service: service, meter: meter, body: 1 << 20, stall: 30 * time.Second}
+	s := &Server{service: service, meter: meter, body: 1 << 20, stall: 30 * time.Second}
 	for _, option := range options {
 		option(s)
 	}
-	s.server = &http.Server{
+	s.Server = socket.Serve(listener, &http.Server{
 		Handler: newHandler(s), ReadHeaderTimeout: headerTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-	}
-	s.tomb.Go(s.run)
+	})
 	return s
 }
 
@@ -111,26 +109,6 @@
 	h.next.ServeHTTP(w, r)
 }
 
-// Drain accepts nothing more and waits for the requests in progress, or until ctx ends.
-func (s *Server) Drain(ctx context.Context) error {
-	s.tomb.Kill(nil)
-	return trace.Wrap(s.server.Shutdown(ctx))
-}
-
-// Close cuts what is still in progress and waits.
-func (s *Server) Close() error {
-	s.tomb.Kill(nil)
-	_ = s.server.Close()
-	return s.tomb.Wait()
-}
-
-func (s *Server) run() error {
-	if err := s.server.Serve(s.listener); err != nil && s.tomb.Alive() {
-		return trace.Wrap(err)
-	}
-	return nil
-}
-
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	request, refused := s.read(w, r)
 	if refused != nil {
--- a/steward/lead/demand.go
+++ b/steward/lead/demand.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hornbeamtray/core/expert"
+	"hornbeamtray/core/route"
 )
 
 const (
@@ -34,12 +35,12 @@
 // take adds what the ranks counted since the last call. A rank that was not
 // observed for a short while adds it later; one that started anew, or was not
 // observed for long, begins at nothing.
-func (d *demand) take(observed map[int]Observation, shape Shape, now time.Time) {
-	if len(d.sets) != shape.Sets || len(d.window[0]) != shape.Experts {
-		*d = demand{counts: map[int]counted{}, sets: make([]expert.Demand, shape.Sets), window: zeros(shape), since: now}
+func (d *demand) take(observed map[int]Observation, shape route.Engine, now time.Time) {
+	if len(d.sets) != shape.Layers || len(d.window[0]) != shape.Experts {
+		*d = demand{counts: map[int]counted{}, sets: make([]expert.Demand, shape.Layers), window: zeros(shape), since: now}
 	}
 	for rank, o := range observed {
-		if len(o.Counts) != shape.Sets*shape.Experts {
+		if len(o.Counts) != shape.Layers*shape.Experts {
 			continue
 		}
 		if last := d.counts[rank]; now.Sub(last.at) < stale {
@@ -65,8 +66,8 @@
 // enough reports whether the demand is known well enough to plan for it.
 func (d *demand) enough() bool { return d.known >= leastKnown }
 
-func zeros(shape Shape) [][]float64 {
-	out := make([][]float64, shape.Sets)
+func zeros(shape route.Engine) [][]float64 {
+	out := make([][]float64, shape.Layers)
 	for set := range out {
 		out[set] = make([]float64, shape.Experts)
 	}
--- a/steward/lead/guard.go
+++ b/steward/lead/guard.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hornbeamtray/adapter/clock"
+	"hornbeamtray/core/route"
 	"hornbeamtray/core/switching"
 )
 
@@ -19,7 +20,7 @@
 // guard resolves a pass that the own rank holds while the leader's machine is
 // paused, killed or cut off: otherwise the group would stand still until that
 // one is back.
-func (l *Lead) guard(ctx context.Context, own Observation, shape Shape) {
+func (l *Lead) guard(ctx context.Context, own Observation, shape route.Engine) {
 	now, s := l.clock(), own.Status
 	if s.Held == 0 || s.Held != l.held.step || s.Epoch != l.held.epoch {
 		l.held = heldPass{epoch: s.Epoch, step: s.Held, since: now}
@@ -45,7 +46,7 @@
 	l.resolve(ctx, own, observed, statuses, shape)
 }
 
-func (l *Lead) resolve(ctx context.Context, own Observation, observed map[int]Observation, statuses switching.Statuses, shape Shape) {
+func (l *Lead) resolve(ctx context.Context, own Observation, observed map[int]Observation, statuses switching.Statuses, shape route.Engine) {
 	s := own.Status
 	l.coordinator = switching.NewGuardian(s.Epoch, s.Size, reachable(observed, s.Size, shape), statuses)
 	l.journal.Event("resolving a held pass", "group", own.Group, "epoch", s.Epoch, "step", s.Held, "phase", l.coordinator.Phase)
@@ -68,8 +69,8 @@
 
 // reachable returns a map that is new to no rank but the leader's: that one,
 // whose lists can't be read, holds what no other rank does.
-func reachable(observed map[int]Observation, size int, shape Shape) switching.Map {
-	held := make(switching.Map, shape.Sets)
+func reachable(observed map[int]Observation, size int, shape route.Engine) switching.Map {
+	held := make(switching.Map, shape.Layers)
 	for set := range held {
 		held[set] = make([][]int, size)
 		missing := make([]bool, shape.Experts)
--- a/steward/lead/lead.go
+++ b/steward/lead/lead.go
@@ -17,6 +17,7 @@
 
 	"hornbeamtray/adapter/clock"
 	"hornbeamtray/core/expert"
+	"hornbeamtray/core/route"
 	"hornbeamtray/core/switching"
 )
 
@@ -142,7 +143,7 @@
 }
 
 // begin takes the lead of a group in its present epoch.
-func (l *Lead) begin(own Observation, observed map[int]Observation, statuses switching.Statuses, shape Shape) {
+func (l *Lead) begin(own Observation, observed map[int]Observation, statuses switching.Statuses, shape route.Engine) {
 	l.leading, l.group = true, own.Group
 	l.coordinator = switching.NewCoordinator(own.Status.Epoch, own.Status.Size, current(observed, own.Status.Size, shape), statuses)
 	l.journal.Event("leading", "group", l.group, "epoch", own.Status.Epoch, "ranks", own.Status.Size, "map", own.Status.Map,
@@ -242,14 +243,14 @@
 }
 
 // plan begins a switch where the demand has moved away from the placement.
-func (l *Lead) plan(ctx context.Context, observed map[int]Observation, statuses switching.Statuses, shape Shape) {
+func (l *Lead) plan(ctx context.Context, observed map[int]Observation, statuses switching.Statuses, shape route.Engine) {
 	size := len(statuses)
 	speeds := make([]float64, size)
 	for rank := range speeds {
 		speeds[rank] = 1 / max(1, observed[rank].Pace)
 	}
 	before := current(observed, size, shape)
-	if len(before) != shape.Sets {
+	if len(before) != shape.Layers {
 		return
 	}
 	next, worst, moved := slices.Clone(before), 0.0, 0
@@ -276,13 +277,13 @@
 }
 
 // current returns the map that the ranks say they hold, empty where some don't.
-func current(observed map[int]Observation, size int, shape Shape) switching.Map {
-	held := make(switching.Map, shape.Sets)
+func current(observed map[int]Observation, size int, shape route.Engine) switching.Map {
+	held := make(switching.Map, shape.Layers)
 	for set := range held {
 		held[set] = make([][]int, size)
 		for rank := range size {
 			lists := observed[rank].Lists
-			if len(lists) != shape.Sets {
+			if len(lists) != shape.Layers {
 				return nil
 			}
 			held[set][rank] = lists[set]
--- a/steward/lead/lead_test.go
+++ b/steward/lead/lead_test.go
@@ -9,10 +9,11 @@
 	"testing/synctest"
 	"time"
 
+	"hornbeamtray/core/route"
 	"hornbeamtray/core/switching"
 )
 
-var shape = Shape{Sets: 1, Experts: 4, Places: 2, Spare: 2}
+var shape = route.Engine{Layers: 1, Experts: 4, Places: 2, Spare: 2}
 
 // group is a fake group of three ranks that begins a pass each 50 ms.
 type group struct {
@@ -192,7 +193,7 @@
 
 type known struct{}
 
-func (known) Shape() (Shape, bool) { return shape, true }
+func (known) Shape() (route.Engine, bool) { return shape, true }
 
 type quiet struct{}
 
--- a/steward/lead/port.go
+++ b/steward/lead/port.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"hornbeamtray/core/route"
 	"hornbeamtray/core/switching"
 )
 
@@ -36,18 +37,10 @@
 	Order(ctx context.Context, o switching.Order) switching.Result
 }
 
-// Shape is what operators declare of a group's engines.
-type Shape struct {
-	Sets    int // Sets counts the sets of layers that are placed alike.
-	Experts int // Experts counts the experts of one set.
-	Places  int // Places bounds the experts of one set on one rank.
-	Spare   int // Spare bounds the experts new to one rank and set in one map.
-}
-
 // Shapes tells the shape of the own group; false while it is not known or where
 // the engines have no experts.
 type Shapes interface {
-	Shape() (Shape, bool)
+	Shape() (route.Engine, bool)
 }
 
 // Meter counts and times what the steward does.
