Decide on ejection in core/eject alone

Cause: core/dispatch wrote again what core/entry had around eject.Record: that a due ejection happens only while it leaves enough targets, with its own copy of the bound.

Change: Record.WithAttempt takes the step as a whole, bound included; the two states say how many others are ejected, of how many, each from its own lists.

Ruled out: one WithAttempt for both states; their views and lists differ.

Behaviour is as before: the same counts meet the same bound. Tests of eject, entry and dispatch keep their assertions and are green with -race.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -18,7 +18,6 @@
 	peerSilence  = 3 * time.Second        // a peer's counts are dropped after this
 	coldWindow   = time.Second            // the bound on cold targets counts the requests of any such span
 	fewestShares = 8                      // the bound on cold targets is divided by at least as many gateways
-	ejectDivisor = 2                      // at most one target of a service in so many is ejected
 	// A target that gave no sign for so long may stand still with what it was sent:
 	// four times what a first part takes, and a quarter of what callers wait.
 	silentAfter   = 500 * time.Millisecond
@@ -271,27 +270,27 @@
 		return s
 	}
 	view.Own = max(0, view.Own-1)
-	var due bool
-	view.Attempts, due = view.Attempts.With(failed, now)
-	if due && s.mayEject(id, now) {
-		view.Attempts = view.Attempts.WithEjection(now)
+	var ejected bool
+	view.Attempts, ejected = view.Attempts.WithAttempt(failed, func() (int, int) { return s.ejected(id, now) }, now)
+	if ejected {
 		s.Trail = s.Trail.With(now, "target "+id, "attempts in a row failed", "serving", "ejected")
 	}
 	s.views = s.views.Set(id, view)
 	return s
 }
 
-func (s State) mayEject(id string, now time.Time) bool {
+// ejected returns how many other targets of a target's service are ejected, of
+// how many.
+func (s State) ejected(id string, now time.Time) (ejected, targets int) {
 	t, found := s.Roster.Target(id)
 	if !found {
-		return false
+		return 0, 0
 	}
 	serving := s.Roster.Serving(t.Service, now)
-	ejected := 1
 	for _, other := range serving {
 		if other.ID != id && s.View(other.ID).Attempts.Ejected(now) {
 			ejected++
 		}
 	}
-	return ejected*ejectDivisor <= len(serving)
+	return ejected, len(serving)
 }
--- a/core/eject/eject.go
+++ b/core/eject/eject.go
@@ -1,7 +1,8 @@
 // Package eject decides for how long a target gets no work after attempts at it
 // failed in a row.
 //
-// How many targets may be ejected at once is for the caller to decide.
+// It also bounds how many targets of a service are ejected at once, so that a bad
+// network doesn't eject them all.
 package eject
 
 import "time"
@@ -11,6 +12,7 @@
 	after   = 3 // failures in a row
 	first   = time.Second
 	longest = 30 * time.Second
+	divisor = 2 // at most one target of a service in so many is ejected
 )
 
 // Record is what is known of the latest attempts at a target. The zero value
@@ -42,3 +44,18 @@
 	r.Until = now.Add(min(longest, first<<min(r.Failures-after, 10)))
 	return r
 }
+
+// WithAttempt returns the record after an attempt, and whether the target was
+// ejected for it: after several failures in a row, unless that would leave too
+// few targets of its service. Where that is due, service tells how many others
+// are ejected, of how many targets.
+func (r Record) WithAttempt(failed bool, service func() (ejected, targets int), now time.Time) (Record, bool) {
+	r, due := r.With(failed, now)
+	if !due {
+		return r, false
+	}
+	if ejected, targets := service(); (ejected+1)*divisor > targets {
+		return r, false
+	}
+	return r.WithEjection(now), true
+}
--- a/core/entry/view.go
+++ b/core/entry/view.go
@@ -16,9 +16,6 @@
 // taken to be over.
 const loadHalfLife = 250 * time.Millisecond
 
-// ejectDivisor bounds ejection: at most one target in so many is ejected.
-const ejectDivisor = 2
-
 // noTargetRetry is when to try again after no target could take a request.
 const noTargetRetry = 200 * time.Millisecond
 
@@ -154,28 +151,26 @@
 		return s
 	}
 	view.Own = max(0, view.Own-1)
-	var due bool
-	view.Attempts, due = view.Attempts.With(failed, now)
-	if due && s.mayEject(target, now) {
-		view.Attempts = view.Attempts.WithEjection(now)
+	var ejected bool
+	view.Attempts, ejected = view.Attempts.WithAttempt(failed, func() (int, int) { return s.ejected(target, now) }, now)
+	if ejected {
 		s.Trail = s.Trail.With(now, "target "+target, "attempts in a row failed", "serving", "ejected")
 	}
 	s.views = s.views.Set(target, view)
 	return s
 }
 
-// mayEject bounds ejection to a part of the service's targets, so that a bad
-// network does not eject them all.
-func (s State) mayEject(target string, now time.Time) bool {
+// ejected returns how many other targets of a target's service are ejected, of
+// how many.
+func (s State) ejected(target string, now time.Time) (ejected, targets int) {
 	t, _ := s.Configuration.Target(target)
 	names := s.serving[t.Service]
-	ejected := 0
 	for _, name := range names {
 		if name != target && s.View(name).Attempts.Ejected(now) {
 			ejected++
 		}
 	}
-	return (ejected+1)*ejectDivisor <= len(names)
+	return ejected, len(names)
 }
 
 // Choose mints a ticket of that ID for an admitted request, on a target not yet
