Keep one record a peer; find silent targets once a choice

Change: one map by address; the silent targets are gathered once a choice, from peers that mostly name none; a greeting is written at once.

Ruled out: leaving Mirror.At and Proof as they are is no second copy worth a change: each is read where the other would not do.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -38,7 +38,7 @@
 	loads map[string]int // its requests in flight by target; never written after construction
 	heard time.Time
 
-	silent map[string]bool // targets that it finds silent; never written after construction
+	silent []string // targets that it finds silent; never written after construction
 }
 
 // View returns what the gateway knows of one target.
@@ -66,11 +66,7 @@
 	for other, p := range s.peers {
 		peers[other] = p
 	}
-	p := peer{loads: loads, heard: now, silent: map[string]bool{}}
-	for _, id := range silent {
-		p.silent[id] = true
-	}
-	peers[name] = p
+	peers[name] = peer{loads: loads, heard: now, silent: silent}
 	s.peers = peers
 	return s
 }
@@ -94,7 +90,7 @@
 		}
 		s = s.WithOutage(a.Service, now)
 	}
-	serving := s.Roster.Serving(a.Service, now)
+	serving, silent := s.Roster.Serving(a.Service, now), s.silent(now)
 	candidates := make([]routing.Candidate, 0, len(serving))
 	for _, t := range serving {
 		if slices.Contains(tried, t.ID) || s.View(t.ID).Attempts.Ejected(now) || !s.bearsCold(t, now) {
@@ -107,7 +103,7 @@
 		if t.Domain != s.Domain {
 			load += farPenalty
 		}
-		if s.silent(t.ID, now) {
+		if silent[t.ID] {
 			load += silentPenalty
 		}
 		if now.Before(t.Cold) {
@@ -130,18 +126,22 @@
 	return s, t, nil
 }
 
-// silent reports whether a target gave no sign since it was last sent something,
-// to this gateway or to a peer.
-func (s State) silent(id string, now time.Time) bool {
-	if s.View(id).silent(now) {
-		return true
+// silent returns the targets that gave no sign since they were last sent
+// something, to this gateway or to a peer.
+func (s State) silent(now time.Time) map[string]bool {
+	silent := map[string]bool{}
+	for _, id := range s.Silent(now) {
+		silent[id] = true
 	}
 	for _, p := range s.peers {
-		if p.silent[id] && now.Sub(p.heard) <= silentAfter {
-			return true
+		if now.Sub(p.heard) > silentAfter {
+			continue
+		}
+		for _, id := range p.silent {
+			silent[id] = true
 		}
 	}
-	return false
+	return silent
 }
 
 func (v View) silent(now time.Time) bool {
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -79,11 +79,10 @@
 	inbox   *follow.Inbox
 	clock   func() time.Time
 
-	mu       sync.Mutex
-	heard    map[string]time.Time // by address; guarded by mu
-	standing map[string]standing  // by address; guarded by mu
-	behind   time.Time            // since when peers know more; zero while they don't; guarded by mu
-	turn     int                  // peers greeted so far; owned by run
+	mu     sync.Mutex
+	heard  map[string]standing // by address; guarded by mu
+	behind time.Time           // since when peers know more; zero while they don't; guarded by mu
+	turn   int                 // peers greeted so far; owned by run
 
 	learning sync.Mutex // held while a peer is asked for news, so that one is at a time
 	packed   packed     // has its own lock
@@ -92,7 +91,7 @@
 // New greets peers until Close. The seeds are read anew for each round.
 func New(name, address string, seeds func() []string, client *wire.Client, service Service, inbox *follow.Inbox, clock func() time.Time) *Peers {
 	p := &Peers{
-		name: name, address: address, seeds: seeds, client: client, service: service, inbox: inbox, clock: clock, heard: map[string]time.Time{}, standing: map[string]standing{},
+		name: name, address: address, seeds: seeds, client: client, service: service, inbox: inbox, clock: clock, heard: map[string]standing{},
 	}
 	p.tomb.Go(p.run)
 	return p
@@ -143,7 +142,7 @@
 		most = tickFan
 		p.mu.Lock()
 		for _, address := range known {
-			if p.standing[address].reads && len(list) < readers {
+			if p.heard[address].reads && len(list) < readers {
 				list = append(list, address)
 			}
 		}
@@ -184,12 +183,12 @@
 // greeting returns what the gateway tells of itself, and of others where it
 // introduces itself.
 func (p *Peers) greeting(introduced bool) greeting {
-	g := greeting{Name: p.name, Address: p.address, Loads: p.service.State().Loads(), Silent: p.service.State().Silent(p.clock())}
 	revision, at, complete := p.inbox.Mirror().Proof()
-	g.Revision, g.Age, g.Complete = revision, p.clock().Sub(at), complete
-	now := p.clock()
-	own := p.inbox.Mirror().Standing()
-	g.Reads = own.Reads(now)
+	state, own, now := p.service.State(), p.inbox.Mirror().Standing(), p.clock()
+	g := greeting{
+		Name: p.name, Address: p.address, Loads: state.Loads(), Silent: state.Silent(now),
+		Complete: complete, Revision: revision, Age: now.Sub(at), Reads: own.Reads(now),
+	}
 	if since := now.Sub(own.Outage); since < outageKnown {
 		g.Outage = &since
 	}
@@ -215,12 +214,11 @@
 	}
 	p.mu.Lock()
 	now := p.clock()
-	p.heard[g.Address] = now
-	p.standing[g.Address] = standingOf(g, now)
+	p.heard[g.Address] = standingOf(g, now)
 	for _, address := range g.Known {
 		_, known := p.heard[address]
 		if _, err := netip.ParseAddrPort(address); err == nil && !known && address != p.address && len(p.heard) < maxPeers {
-			p.heard[address] = now
+			p.heard[address] = standing{heard: now}
 		}
 	}
 	outage := p.outage(now)
@@ -238,10 +236,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []string
-	for address, heard := range p.heard {
-		if p.clock().Sub(heard) > forgetAfter {
+	for address, s := range p.heard {
+		if p.clock().Sub(s.heard) > forgetAfter {
 			delete(p.heard, address)
-			delete(p.standing, address)
 			continue
 		}
 		list = append(list, address)
--- a/gateway/peers/readers.go
+++ b/gateway/peers/readers.go
@@ -29,7 +29,7 @@
 	if own.Reads(now) && now.Sub(own.Outage) > outageKnown {
 		return time.Time{}
 	}
-	for _, s := range p.standing {
+	for _, s := range p.heard {
 		switch {
 		case now.Sub(s.heard) > heardFresh:
 		case s.reads && s.outage.IsZero():
@@ -51,7 +51,7 @@
 		return false
 	}
 	now, before, own := p.clock(), 0, order(p.address)
-	for address, s := range p.standing {
+	for address, s := range p.heard {
 		if s.reads && now.Sub(s.heard) < heardFresh && order(address) < own {
 			before++
 		}
