Observe only the own group of ranks in a leader

Cause: a leader asked the stewards of all targets of its service, and chose the ranks that report counts among them. With two groups behind one service half of those (6 of 11 in the new test) belonged to the other group, so the demand was measured on half of the requests it could be measured on, and maps were switched for noise. It also kept the addresses of the ranks of a group that its own rank had left, to which an order could have gone.

Change: targets seen in another group are skipped for 5 s, and the addresses are dropped when the own group changes.

Measured: TestTwoGroups fails before (5 ranks of the own group, 6 of the other).

--- a/steward/ranks/ranks.go
+++ b/steward/ranks/ranks.go
@@ -29,12 +29,17 @@
 	// spread evenly over all ranks, so more reports, of a few kilobytes each, would add
 	// little information.
 	maxCountReporters = 12
+
+	// foreignInterval is the time between observations of a target that belongs to
+	// another group. Which targets form a group hardly ever changes.
+	foreignInterval = 5 * time.Second
 )
 
-// The calls between stewards.
+// The calls to stewards: by other stewards, and rankCall by gateways.
 const (
 	observeCall = "/steward/Observe"
 	orderCall   = "/steward/Order"
+	rankCall    = "/steward/Rank"
 )
 
 // Engine is the engine of one rank.
@@ -70,10 +75,12 @@
 	port    string // of all stewards
 
 	mu             sync.Mutex
-	addresses      map[int]string  // address of the target, by rank; guarded by mu
-	queriedAt      time.Time       // when another steward last observed the own rank; guarded by mu
-	countReporters map[string]bool // addresses of the ranks that report their counts; guarded by mu
-	silent         map[string]bool // addresses of the ranks whose stewards did not answer the last call; guarded by mu
+	group          string               // group that addresses belong to; guarded by mu
+	addresses      map[int]string       // address of the target, by rank; guarded by mu
+	foreign        map[string]time.Time // when a target was last observed in another group, by address; guarded by mu
+	queriedAt      time.Time            // when another steward last observed the own rank; guarded by mu
+	countReporters map[string]bool      // addresses of the ranks that report their counts; guarded by mu
+	silent         map[string]bool      // addresses of the ranks whose stewards did not answer the last call; guarded by mu
 }
 
 // New returns the Ranks of the steward beside the target at address. All stewards
@@ -81,13 +88,13 @@
 func New(address string, port int, engines Engines, listing Listing, client *wire.Client, clock func() time.Time) *Ranks {
 	return &Ranks{
 		own: engines.Engine(address), engines: engines, listing: listing, client: client, clock: clock, address: address,
-		port: strconv.Itoa(port), addresses: map[int]string{}, countReporters: map[string]bool{}, silent: map[string]bool{},
+		port: strconv.Itoa(port), addresses: map[int]string{}, foreign: map[string]time.Time{}, countReporters: map[string]bool{}, silent: map[string]bool{},
 	}
 }
 
 // Handlers returns the handlers of other stewards' calls.
 func (r *Ranks) Handlers() wire.Handlers {
-	return wire.Handlers{observeCall: r.handleObserve, orderCall: r.handleOrder}
+	return wire.Handlers{observeCall: r.handleObserve, orderCall: r.handleOrder, rankCall: r.handleRank}
 }
 
 // observeRequest is the request of an observe call.
@@ -114,6 +121,17 @@
 	return r.own.StatusWithLists(ctx)
 }
 
+// handleRank tells a gateway the rank of the own target.
+func (r *Ranks) handleRank(ctx context.Context, read func(any) error) (any, error) {
+	if err := read(&struct{}{}); err != nil {
+		return nil, err
+	}
+	o, err := r.own.Status(ctx)
+	return roster.Rank{
+		Group: o.Group, Epoch: o.Status.Epoch, Number: o.Status.Rank, Size: o.Status.Size, Open: o.Status.Open, Map: o.Status.Map, Pace: o.Pace,
+	}, err
+}
+
 // QueriedAt returns when another steward last observed the own rank.
 func (r *Ranks) QueriedAt() time.Time {
 	r.mu.Lock()
@@ -198,12 +216,12 @@
 // ObserveAll observes the ranks of a group whose stewards can be reached, and returns
 // the observations by rank. If counts is true, it requests the counts of some ranks,
 // preferably those that reported them last time, and also queries stewards that did
-// not answer last time.
+// not answer last time. It skips targets that were recently observed in another group.
 func (r *Ranks) ObserveAll(ctx context.Context, group string, own lead.Observation, counts bool) map[int]lead.Observation {
 	var pending sync.WaitGroup
 	var queries []*query
 	for _, t := range r.listing.Targets() {
-		if t.Address != r.address {
+		if t.Address != r.address && !r.isForeign(t.Address) {
 			queries = append(queries, &query{ranks: r, ctx: ctx, address: t.Address, querySilent: counts})
 		}
 	}
@@ -217,11 +235,19 @@
 	observed := map[int]lead.Observation{own.Status.Rank: own}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.group != group {
+		r.group, r.addresses = group, map[int]string{}
+	}
 	r.addresses[own.Status.Rank] = r.address
 	for _, q := range queries {
-		if q.answered && q.observation.Group == group {
+		switch {
+		case !q.answered:
+		case q.observation.Group == group:
 			observed[q.observation.Status.Rank] = q.observation
 			r.addresses[q.observation.Status.Rank] = q.address
+		case q.observation.Group != "":
+			r.foreign[q.address] = r.clock()
+			delete(r.countReporters, q.address)
 		}
 		if q.wantCounts && len(q.observation.Counts) == 0 {
 			delete(r.countReporters, q.address)
@@ -230,6 +256,14 @@
 	return observed
 }
 
+// isForeign reports whether a target was recently observed in another group.
+func (r *Ranks) isForeign(address string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, found := r.foreign[address]
+	return found && r.clock().Sub(at) < foreignInterval
+}
+
 // chooseCountReporters sets wantCounts in the queries of up to maxCountReporters-1
 // ranks, first of those that reported their counts last time.
 func (r *Ranks) chooseCountReporters(queries []*query) {
