Send nothing to a process whose address another one took over

Change: of the targets listed at one address, only the one whose process started last gets work. A 421 marks a target as replaced for 5 s, until a new process has its ID; the recovery of its group doesn't lift that. Stewards and gateways ask each address once.

Measured: the new cases of TestServing and TestReplaced fail before.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -18,6 +18,8 @@
 	coldWindow    = time.Second // sliding window of the bound on requests to a cold target; see Bounds
 	minGateways   = 8           // the bound on a cold target is divided among at least this many gateways
 
+	replacedTimeout = 5 * time.Second // the entry of a process that crashed is removed after three beats, 3.6 s
+
 	// A target that does not respond within silentAfter may be hung. This is four
 	// times as long as the first part of an answer takes, and a quarter of the time
 	// that callers wait.
@@ -31,6 +33,7 @@
 	InFlight        int // InFlight counts this gateway's requests at the target.
 	Attempts        eject.Record
 	sends           []time.Time // sends within coldWindow; never written after construction
+	replacedAt      time.Time   // when another process last answered at the target's address; zero for never
 	unansweredSince time.Time   // first send since the latest response, or a later retry of a silent target; zero after a response
 }
 
@@ -88,7 +91,7 @@
 func (s State) candidates(a Admission, tried []string, now time.Time) (candidates, probes []routing.Candidate) {
 	serving, silent, triedGroups := s.Roster.Serving(a.Service, now), s.silentTargets(now), s.groupsOf(tried)
 	for _, t := range serving {
-		if slices.Contains(tried, t.ID) || s.View(t.ID).Attempts.Ejected(now) || !s.belowColdBound(t, now) {
+		if slices.Contains(tried, t.ID) || s.View(t.ID).Attempts.Ejected(now) || s.View(t.ID).replaced(now) || !s.belowColdBound(t, now) {
 			continue
 		}
 		load, group := s.load(t.ID), s.group(t)
@@ -151,6 +154,28 @@
 	return ids
 }
 
+// replaced reports whether another process answered at the target's address within
+// replacedTimeout.
+func (v View) replaced(now time.Time) bool {
+	return !v.replacedAt.IsZero() && now.Sub(v.replacedAt) <= replacedTimeout
+}
+
+// WithReplaced returns the state after another process answered at a target's address.
+// The target gets no requests for replacedTimeout, by when the platform has removed
+// its entry.
+func (s State) WithReplaced(id string, now time.Time) State {
+	view, found := s.views.Get(id)
+	if !found {
+		return s
+	}
+	if !view.replaced(now) {
+		s.Trail = s.Trail.With(now, "target "+id, "another process answered at its address", "serving", "replaced")
+	}
+	view.replacedAt = now
+	s.views = s.views.Set(id, view)
+	return s
+}
+
 // silent reports whether the target has not responded for longer than silentAfter
 // and is not yet to be tried again.
 func (v View) silent(now time.Time) bool {
--- a/core/dispatch/state_test.go
+++ b/core/dispatch/state_test.go
@@ -345,6 +345,36 @@
 	}
 }
 
+// TestReplaced checks that a target is left alone after another process answered at
+// its address, also if its group recovers meanwhile, and is used again if a new process
+// takes over its ID or its entry stays for longer than that of a process that crashed.
+func TestReplaced(t *testing.T) {
+	_, admission, _ := state().Admit(dispatch.Request{Host: "h", Path: "/open/"}, 0, at(0))
+	replaced := func() dispatch.State {
+		s, chosen, _ := state().Choose(admission, []string{"b"}, lowestRandom{}, at(0))
+		return s.WithReplaced(chosen.ID, at(10)).WithAttempt(chosen.ID, false, at(10))
+	}
+	a := roster.Target{ID: "a", Service: "s"}
+	tests := []struct {
+		name  string
+		state dispatch.State
+		now   int
+		want  string
+	}{
+		{"replaced", replaced(), 100, "b"},
+		{"its group recovered", replaced().WithGroupLost(a, at(20)).WithGroupRecovered(a, at(30)), 100, "b"},
+		{"a new process has its ID", replaced().WithUpdate(dispatch.Update{Targets: []roster.Target{{ID: "a", Service: "s", Domain: "d1", Slots: 2, StartUnixMilli: 7, Revision: 3}}}, at(20)), 100, "a"},
+		{"still listed after its entry should have expired", replaced(), 5100, "a"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if _, chosen, refused := tt.state.Choose(admission, nil, lowestRandom{}, at(tt.now)); refused != nil || chosen.ID != tt.want {
+				t.Errorf("Choose = %q, %v, want %q", chosen.ID, refused, tt.want)
+			}
+		})
+	}
+}
+
 // TestSilentTargetChosenLast checks that requests avoid a target that does not
 // respond until it responds or is due for another try.
 func TestSilentTargetChosenLast(t *testing.T) {
--- a/core/dispatch/update.go
+++ b/core/dispatch/update.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hornbeamtray/core/eject"
 	"hornbeamtray/core/roster"
 	"hornbeamtray/core/route"
 )
@@ -41,7 +42,7 @@
 	ids, domains := map[string]bool{}, map[string]bool{}
 	for _, t := range update.Targets {
 		if known, found := r.Target(t.ID); found && known.StartUnixMilli != t.StartUnixMilli && t.Revision > known.Revision {
-			s = s.withoutAttemptRecord(t.ID) // a new process reuses the ID, so the failures of the old one do not count
+			s = s.withNewProcess(t.ID)
 		}
 		r = r.WithTarget(t)
 		ids[t.ID] = true
@@ -60,6 +61,16 @@
 	return s.WithRoster(r, now).WithSync(update.ReadAt)
 }
 
+// withNewProcess returns the state after a new process started under the ID of a
+// target. The failures of the old one don't count for it.
+func (s State) withNewProcess(id string) State {
+	if view, found := s.views.Get(id); found {
+		view.Attempts, view.replacedAt = eject.Record{}, time.Time{}
+		s.views = s.views.Set(id, view)
+	}
+	return s
+}
+
 // WithStore returns the state after the platform's store became reachable or
 // unreachable. The cause is recorded in the trail.
 func (s State) WithStore(reached bool, cause string, now time.Time) State {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -34,17 +34,18 @@
 // zero value is not usable.
 type Roster struct {
 	targets       *immutable.SortedMap[string, Target]
-	removed       map[string]uint64    // revision of the last removal, by target; never written after construction
-	lapsed        map[string]time.Time // end of the grace period, by lapsed target, see WithRemoved; never written after construction
-	evacuated     map[string]uint64    // revision of the last evacuation, by domain; never written after construction
-	restored      map[string]uint64    // revision of the last end of an evacuation, by domain; never written after construction
-	storeLost     bool                 // the store can't be read
-	storeRegained time.Time            // end of the last known outage of the store
+	occupants     *immutable.Map[string, string] // ID of the target at each address: the one whose process started last
+	removed       map[string]uint64              // revision of the last removal, by target; never written after construction
+	lapsed        map[string]time.Time           // end of the grace period, by lapsed target, see WithRemoved; never written after construction
+	evacuated     map[string]uint64              // revision of the last evacuation, by domain; never written after construction
+	restored      map[string]uint64              // revision of the last end of an evacuation, by domain; never written after construction
+	storeLost     bool                           // the store can't be read
+	storeRegained time.Time                      // end of the last known outage of the store
 }
 
 // New returns an empty roster.
 func New() Roster {
-	return Roster{targets: immutable.NewSortedMap[string, Target](nil)}
+	return Roster{targets: immutable.NewSortedMap[string, Target](nil), occupants: immutable.NewMap[string, string](nil)}
 }
 
 // WithTarget returns the roster with the target added or updated, unless a newer
@@ -53,13 +54,59 @@
 	if known, found := r.targets.Get(t.ID); found && known.Revision >= t.Revision || r.removed[t.ID] >= t.Revision {
 		return r
 	}
+	if known, found := r.targets.Get(t.ID); found && known.Address != t.Address {
+		r = r.without(t.ID)
+	}
 	r.targets = r.targets.Set(t.ID, t)
+	if id, found := r.occupants.Get(t.Address); t.Address != "" && (!found || id == t.ID || r.startedLast(t, id)) {
+		r.occupants = r.occupants.Set(t.Address, t.ID)
+	}
 	if _, found := r.lapsed[t.ID]; found {
 		r.lapsed = withoutEntry(r.lapsed, t.ID)
 	}
 	return r
 }
 
+// startedAfter reports whether the target's process started after that of other, by
+// the start times if both are known, and otherwise by the order of their entries.
+func (t Target) startedAfter(other Target) bool {
+	if t.StartUnixMilli != 0 && other.StartUnixMilli != 0 && t.StartUnixMilli != other.StartUnixMilli {
+		return t.StartUnixMilli > other.StartUnixMilli
+	}
+	return t.Revision > other.Revision
+}
+
+// startedLast reports whether the target's process started after that of the target
+// with the given ID.
+func (r Roster) startedLast(t Target, id string) bool {
+	other, found := r.targets.Get(id)
+	return !found || t.startedAfter(other)
+}
+
+// without returns the roster without a target. Its address falls to the target that
+// started last of those that are also listed there.
+func (r Roster) without(id string) Roster {
+	t, found := r.targets.Get(id)
+	if !found {
+		return r
+	}
+	r.targets = r.targets.Delete(id)
+	if occupant, _ := r.occupants.Get(t.Address); occupant != id {
+		return r
+	}
+	r.occupants = r.occupants.Delete(t.Address)
+	last := Target{}
+	for i := r.targets.Iterator(); !i.Done(); {
+		if _, other, _ := i.Next(); other.Address == t.Address && (last.ID == "" || other.startedAfter(last)) {
+			last = other
+		}
+	}
+	if last.ID != "" {
+		r.occupants = r.occupants.Set(last.Address, last.ID)
+	}
+	return r
+}
+
 // WithRemoved returns the roster after the target's entry was removed from the
 // store, unless a newer entry or removal of it is known. The entry of a running
 // target may expire during an outage of the store and is listed again within
@@ -78,8 +125,7 @@
 		r.lapsed = withEntry(r.lapsed, id, until)
 		return r
 	}
-	r.targets = r.targets.Delete(id)
-	return r
+	return r.without(id)
 }
 
 // WithFullListing returns the roster after a full listing at the given revision.
@@ -154,7 +200,7 @@
 	for id, until := range r.lapsed {
 		if !r.storeLost && !now.Before(until) {
 			r.lapsed = withoutEntry(r.lapsed, id)
-			r.targets = r.targets.Delete(id)
+			r = r.without(id)
 		}
 	}
 	return r
@@ -189,11 +235,16 @@
 }
 
 // Available reports whether the target may get new work at time now. A lapsed
-// target may until its grace period ends, or while the store is lost.
+// target may until its grace period ends, or while the store is lost. A target
+// may not once another process started at its address: the entry of a process that
+// crashed stays listed for some seconds.
 func (r Roster) Available(t Target, now time.Time) bool {
 	if t.Leaving || r.Evacuated(t.Domain) {
 		return false
 	}
+	if id, found := r.occupants.Get(t.Address); found && id != t.ID {
+		return false
+	}
 	until, lapsed := r.lapsed[t.ID]
 	return !lapsed || r.storeLost || now.Before(until)
 }
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -16,6 +16,13 @@
 	return roster.Target{ID: id, Service: "s", Domain: "d", Slots: 4, Leaving: leaving, Revision: revision}
 }
 
+// process returns a target with an address and the start time of its process.
+func process(id, address string, started int64, revision uint64) roster.Target {
+	t := target(id, revision, false)
+	t.Address, t.StartUnixMilli = address, started
+	return t
+}
+
 func servingIDs(r roster.Roster, now time.Time) string {
 	var ids []string
 	for _, t := range r.Serving("s", now) {
@@ -73,6 +80,29 @@
 		{"missing in a whole listing", func(r roster.Roster) roster.Roster {
 			return r.WithFullListing(map[string]bool{"b": true}, 9, at(0))
 		}, 0, "b"},
+		{"another process started at its address", func(r roster.Roster) roster.Roster {
+			return r.WithTarget(process("c", "1.1.1.1:1", 10, 3)).WithTarget(process("d", "1.1.1.1:1", 20, 4))
+		}, 0, "a b d"},
+		{"the entries of two processes at an address arrive in reverse", func(r roster.Roster) roster.Roster {
+			return r.WithTarget(process("d", "1.1.1.1:1", 20, 4)).WithTarget(process("c", "1.1.1.1:1", 10, 3))
+		}, 0, "a b d"},
+		{"a late entry of the process that crashed", func(r roster.Roster) roster.Roster {
+			return r.WithTarget(process("d", "1.1.1.1:1", 20, 4)).WithTarget(process("c", "1.1.1.1:1", 10, 5))
+		}, 0, "a b d"},
+		{"start times unknown", func(r roster.Roster) roster.Roster {
+			return r.WithTarget(process("c", "1.1.1.1:1", 0, 3)).WithTarget(process("d", "1.1.1.1:1", 0, 4))
+		}, 0, "a b d"},
+		{"the later process of an address is removed", func(r roster.Roster) roster.Roster {
+			return r.WithTarget(process("c", "1.1.1.1:1", 10, 3)).WithTarget(process("d", "1.1.1.1:1", 20, 4)).WithRemoved("d", 5, at(0))
+		}, 0, "a b c"},
+		{"a process of another service started at its address", func(r roster.Roster) roster.Roster {
+			other := process("d", "1.1.1.1:1", 20, 4)
+			other.Service = "other"
+			return r.WithTarget(process("c", "1.1.1.1:1", 10, 3)).WithTarget(other)
+		}, 0, "a b"},
+		{"it moved to another address", func(r roster.Roster) roster.Roster {
+			return r.WithTarget(process("c", "1.1.1.1:1", 10, 3)).WithTarget(process("d", "1.1.1.1:1", 20, 4)).WithTarget(process("d", "1.1.1.2:1", 30, 5))
+		}, 0, "a b c d"},
 		{"newer than the whole listing", func(r roster.Roster) roster.Roster {
 			return r.WithTarget(target("a", 12, false)).WithFullListing(map[string]bool{"b": true}, 9, at(0))
 		}, 0, "a b"},
--- a/gateway/serve/port.go
+++ b/gateway/serve/port.go
@@ -41,6 +41,7 @@
 	Length    int64 // Length is the length of the body in bytes, or -1 if it is not known.
 	Signed    bool  // Signed reports whether the target signed the answer.
 	NotRun    bool  // NotRun reports whether the target guarantees that it did not run the request.
+	Replaced  bool  // Replaced reports whether another process than the expected target answered.
 	GroupLost bool  // GroupLost reports whether the target's group of ranks can't work, so that no target of the group would run the request.
 }
 
--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -224,6 +224,9 @@
 		if head.GroupLost {
 			d.service.recordGroupLost(d.target)
 		}
+		if head.Replaced {
+			d.service.recordReplaced(d.target.ID)
+		}
 		attempt := d.newAttempt(retry.Refused)
 		attempt.Refusal = refusal.New(refusal.Busy, refusal.No, "the target did not run the request; try again").WithRetry(d.admission.RetryAfter(d.service.clock()))
 		return attempt, false
--- a/gateway/serve/service.go
+++ b/gateway/serve/service.go
@@ -197,6 +197,11 @@
 	s.Change(func(state dispatch.State, now time.Time) dispatch.State { return state.WithGroupLost(target, now) })
 }
 
+// recordReplaced records that another process answered at a target's address.
+func (s *Service) recordReplaced(target string) {
+	s.Change(func(state dispatch.State, now time.Time) dispatch.State { return state.WithReplaced(target, now) })
+}
+
 // recordGroupWorking records that the group of a target works again, since the
 // target began an answer.
 func (s *Service) recordGroupWorking(target roster.Target) {
--- a/gateway/survey/survey.go
+++ b/gateway/survey/survey.go
@@ -135,8 +135,8 @@
 	asked := map[string]time.Time{}
 	for _, t := range state.Roster.Targets() {
 		service, found := state.Book.Service(t.Service)
-		if !found || service.Engine.Layers == 0 {
-			continue
+		if _, seen := asked[t.Address]; seen || !found || service.Engine.Layers == 0 {
+			continue // the entry of a process that crashed may be listed beside its successor's
 		}
 		at := s.askedAt[t.Address]
 		if now.Sub(at) >= waitBefore(state, t) && s.asks(t.Address, gateways) {
--- a/steward/ranks/ranks.go
+++ b/steward/ranks/ranks.go
@@ -220,8 +220,10 @@
 func (r *Ranks) ObserveAll(ctx context.Context, group string, own lead.Observation, counts bool) map[int]lead.Observation {
 	var pending sync.WaitGroup
 	var queries []*query
+	seen := map[string]bool{r.address: true} // the entry of a process that crashed may be listed beside its successor's
 	for _, t := range r.listing.Targets() {
-		if t.Address != r.address && !r.isForeign(t.Address) {
+		if !seen[t.Address] && !r.isForeign(t.Address) {
+			seen[t.Address] = true
 			queries = append(queries, &query{ranks: r, ctx: ctx, address: t.Address, querySilent: counts})
 		}
 	}
