Never send again what ran, and measure a stream's progress in events

Cause, found by reading and shown by tests that failed first: - A complete answer that could not be written to the caller ended its attempt as one that was never sent. While the caller's disconnection was not known yet, a request that may run at most once was sent to a second target, and the refusal said that it had not run. - Any byte restarted the wait for the next event of a stream. A target that sent a byte now and then held its caller until the request's deadline. - A run that sent an event without an ID forgot the ID that its caller gave, so that another run would have begun at the first event. - An event without end was collected without bound, and searched from its beginning at each read.

Change: such attempts are abandoned ones, which are never repeated; the wait ends with the next complete event; the last known ID stays; an event over 1 MiB ends its stream.

Measured: TestAnswerNotDelivered (5 of 6 cases: 2 sends, want 1), TestDribblingStream (given up after 30 s, want 4 s) and TestEventsWithoutID fail before. TestEndlessEvent did not end before (stopped after 2 minutes).

--- a/core/events/splitter.go
+++ b/core/events/splitter.go
@@ -19,14 +19,20 @@
 	idField  = []byte("id:")
 )
 
+// maxEventBytes is the size from which an incomplete event is oversized. Events of
+// model engines have some hundred bytes.
+const maxEventBytes = 1 << 20
+
 // Split appends p and returns the events that are now complete, or nil if there
 // are none. The caller owns the result.
 func (s *Splitter) Split(p []byte) []byte {
+	searched := max(0, len(s.partial)-len(eventEnd)+1) // the partial event holds no event end
 	s.partial = append(s.partial, p...)
-	n := bytes.LastIndex(s.partial, eventEnd)
+	n := bytes.LastIndex(s.partial[searched:], eventEnd)
 	if n < 0 {
 		return nil
 	}
+	n += searched
 	whole := bytes.Clone(s.partial[:n+len(eventEnd)])
 	s.partial = append(s.partial[:0], s.partial[n+len(eventEnd):]...)
 	s.recordLastID(whole)
@@ -40,6 +46,9 @@
 // Partial reports whether the splitter holds an incomplete event.
 func (s *Splitter) Partial() bool { return len(s.partial) > 0 }
 
+// Oversized reports whether the incomplete event is larger than maxEventBytes.
+func (s *Splitter) Oversized() bool { return len(s.partial) > maxEventBytes }
+
 // recordLastID stores the last event ID found in events.
 func (s *Splitter) recordLastID(events []byte) {
 	for line := range bytes.Lines(events) {
--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -87,6 +87,9 @@
 	longestGap    time.Duration // between two parts
 }
 
+// errOversizedEvent ends a stream whose target sends an event without end.
+var errOversizedEvent = errors.New("an event of the stream exceeds the size limit")
+
 // failure is a target's complete answer with a status of 500 or above.
 type failure struct {
 	head Head
@@ -287,7 +290,10 @@
 	case err == io.EOF:
 		d.failure = nil
 		d.recordPart()
-		return retry.Attempt{}, d.out.Begin(withLength(head, len(buffered))) == nil && d.out.Write(buffered) == nil
+		if d.out.Begin(withLength(head, len(buffered))) != nil || d.out.Write(buffered) != nil {
+			return d.newAttempt(retry.Abandoned), false
+		}
+		return retry.Attempt{}, true
 	case err != nil:
 		d.logFailure("broken", err)
 		return d.newAttempt(retry.Broken), false
@@ -318,12 +324,14 @@
 	}
 }
 
-// deliverStream delivers the events of a stream, each as soon as it is complete.
+// deliverStream delivers the events of a stream, each as soon as it is complete. A
+// target that sends bytes but completes no event within the event timeout has stalled.
 func (d *delivery) deliverStream(reply Reply, wd *watchdog) (retry.Attempt, bool) {
 	var splitter events.Splitter
 	buffer := make([]byte, readBytes)
+	eventDue := d.service.clock().Add(d.eventTimeout())
 	for {
-		wd.start(d.eventTimeout())
+		wd.start(max(0, eventDue.Sub(d.service.clock())))
 		n, err := reply.Read(buffer)
 		wd.stop()
 		if n > 0 {
@@ -333,9 +341,16 @@
 			if !d.deliverEvents(reply.Head(), complete, splitter.LastID()) {
 				return d.newAttempt(retry.Abandoned), false
 			}
+			eventDue = d.service.clock().Add(d.eventTimeout())
 		}
 		if err == io.EOF && !splitter.Partial() {
-			return retry.Attempt{}, d.headSent || d.deliverEvents(reply.Head(), nil, d.lastEventID)
+			if !d.headSent && !d.deliverEvents(reply.Head(), nil, "") {
+				return d.newAttempt(retry.Abandoned), false
+			}
+			return retry.Attempt{}, true
+		}
+		if err == nil && splitter.Oversized() {
+			err = errOversizedEvent
 		}
 		if err != nil {
 			d.logFailure("stream broken", err, "after", d.lastEventID)
@@ -353,7 +368,8 @@
 }
 
 // deliverEvents writes complete events to the caller, preceded by the head if it
-// was not written yet. It reports whether all writes succeeded.
+// was not written yet. lastEventID is the last ID in this run of the request, or "" if
+// none of its events had one. It reports whether all writes succeeded.
 func (d *delivery) deliverEvents(head Head, complete []byte, lastEventID string) bool {
 	if !d.headSent {
 		head.Length = -1
@@ -366,7 +382,9 @@
 	if len(complete) > 0 && d.out.Write(complete) != nil {
 		return false
 	}
-	d.lastEventID = lastEventID
+	if lastEventID != "" {
+		d.lastEventID = lastEventID
+	}
 	return true
 }
 
