Bound what a target may send before its answer

Cause: a target may send bytes without end that are no answer. The head of an answer, interim heads and the rest of answers to other requests were read without a bound: one such target took 12 GB in 13 s, until the test was killed for want of memory.

--- a/adapter/pool/pool.go
+++ b/adapter/pool/pool.go
@@ -69,8 +69,9 @@
 	pool      *Pool
 	address   string
 	raw       net.Conn
-	reader    *bufio.Reader
-	expiresAt time.Time // when the pool stops reusing the connection
+	limited   *limitedReader // reads raw
+	reader    *bufio.Reader  // reads limited
+	expiresAt time.Time      // when the pool stops reusing the connection
 }
 
 // Get returns an idle connection or a new one. An error means that no connection
@@ -87,7 +88,8 @@
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "the target at %s can't be reached; check that it runs", address)
 	}
-	return &Conn{pool: p, address: address, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	limited := &limitedReader{source: raw}
+	return &Conn{pool: p, address: address, raw: raw, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}, nil
 }
 
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
@@ -167,6 +169,13 @@
 // Reader returns the buffered reader of the connection.
 func (c *Conn) Reader() *bufio.Reader { return c.reader }
 
+// LimitReads makes Reader fail with ErrTooManyBytes once it has read n more bytes from
+// the connection. Up to one read buffer of bytes that follow counts as read.
+func (c *Conn) LimitReads(n int64) { c.limited.limit(n) }
+
+// UnlimitReads removes the limit.
+func (c *Conn) UnlimitReads() { c.limited.unlimit() }
+
 // isIdle reports whether the connection is open and has no unread bytes.
 func (c *Conn) isIdle() bool {
 	if c.reader.Buffered() > 0 {
