Send maps to large groups by way of some of their stewards

The leader sent the map to each of 128 ranks itself, over a link of 6 Mbit/s; 541 of the orders got no answer within 0.6 s in the first 6 s of traffic. Then its next look at the ranks came late, it took itself for interrupted in a switch, and began anew.

Change: an order with a map for 24 ranks or more goes to the square root of their number of stewards, which pass it on and return all results; what a relay doesn't confirm is sent again, by way of others. A late look at the ranks ends a switch only while a pass may be held.

Ruled out: a map as a difference to the one in use (a rank that missed one needs the whole, and the leader's link still carries 128 copies).

--- a/steward/lead/lead.go
+++ b/steward/lead/lead.go
@@ -13,7 +13,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -29,7 +28,7 @@
 	prepareInterval   = 60 * time.Millisecond  // between rounds while ranks copy; a copy takes tens of milliseconds per expert
 	heldInterval      = 15 * time.Millisecond  // between rounds while a pass is held
 	guardInterval     = 150 * time.Millisecond // between rounds of the steward beside the holder
-	maxRoundGap       = switching.ArmWindow    // after a longer gap during a switch, the leader makes a new coordinator, since the guardian may have acted
+	maxRoundGap       = switching.ArmWindow    // after a longer gap while a pass may be held, the leader makes a new coordinator, since the guardian may have acted
 	maxOrderRounds    = 6                      // rounds of orders before all ranks are observed again
 	versionOffsetBits = 12                     // size of the random offset that a switch adds to its version
 
@@ -119,7 +118,8 @@
 	l.demand.add(observed, shape, l.clock())
 	observed = l.cache.fill(ctx, l.ranks, own, observed, l.leading && l.coordinator.Phase == switching.Idle, l.clock())
 	statuses := statusesOf(observed, own.Status.Epoch)
-	if now := l.clock(); l.leading && now.Sub(l.roundEndedAt) > maxRoundGap && l.coordinator.Phase != switching.Idle {
+	mayHold := l.coordinator.Phase != switching.Idle && l.coordinator.Phase != switching.Preparing
+	if now := l.clock(); l.leading && now.Sub(l.roundEndedAt) > maxRoundGap && mayHold {
 		// The guardian may have resolved the held pass, so the coordinator is out of
 		// date.
 		l.journal.Event("paused while a switch was in progress", "for", now.Sub(l.roundEndedAt), "phase", l.coordinator.Phase)
@@ -222,15 +222,9 @@
 		"before", before.Phase, "after", after.Phase)
 }
 
-// sendOrders sends orders to their ranks in parallel and passes the results to the
-// coordinator.
+// sendOrders sends orders to their ranks and passes the results to the coordinator.
 func (l *Lead) sendOrders(ctx context.Context, orders []switching.Order) {
-	results := make([]switching.Result, len(orders))
-	var pending sync.WaitGroup
-	for i, o := range orders {
-		pending.Go(orderCall{ranks: l.ranks, ctx: ctx, order: o, result: &results[i]}.run)
-	}
-	pending.Wait()
+	results := l.ranks.Orders(ctx, orders)
 	for i, o := range orders {
 		l.meter.Inc("orders", string(o.Verb))
 		if results[i] == switching.Refused || results[i] == switching.Unanswered {
@@ -241,18 +235,6 @@
 	}
 }
 
-// orderCall is the call that sends one order.
-type orderCall struct {
-	ranks  Ranks
-	ctx    context.Context
-	order  switching.Order
-	result *switching.Result
-}
-
-func (c orderCall) run() {
-	*c.result = c.ranks.Order(c.ctx, c.order)
-}
-
 // plan begins a switch if the demand no longer fits the placement.
 func (l *Lead) plan(ctx context.Context, observed map[int]Observation, statuses switching.Statuses, shape route.Engine) {
 	size := len(statuses)
--- a/steward/lead/lead_test.go
+++ b/steward/lead/lead_test.go
@@ -190,7 +190,13 @@
 	return v.group.ranks[v.rank].queriedAt
 }
 
-func (v view) Order(_ context.Context, o switching.Order) switching.Result { return v.group.order(o) }
+func (v view) Orders(_ context.Context, orders []switching.Order) []switching.Result {
+	results := make([]switching.Result, len(orders))
+	for i, o := range orders {
+		results[i] = v.group.order(o)
+	}
+	return results
+}
 
 type fixedShape struct{}
 
@@ -302,10 +308,10 @@
 	return r.view.ObserveRank(ctx, rank, lists)
 }
 
-func (r *freezingRanks) Order(ctx context.Context, o switching.Order) switching.Result {
-	result := r.view.Order(ctx, o)
+func (r *freezingRanks) Orders(ctx context.Context, orders []switching.Order) []switching.Result {
+	results := r.view.Orders(ctx, orders)
 	r.waitUntilThawed()
-	return result
+	return results
 }
 
 func TestMapWithoutLeader(t *testing.T) {
@@ -315,3 +321,39 @@
 		t.Errorf("map = %v, want the experts that no other rank holds at rank 0", got)
 	}
 }
+
+// slowRanks is a view of a group whose links are full while its ranks are sent a map, so
+// that their stewards answer late.
+type slowRanks struct {
+	view
+	preparing bool // used by the leader alone
+}
+
+func (r *slowRanks) Orders(ctx context.Context, orders []switching.Order) []switching.Result {
+	r.preparing = orders[0].Verb == switching.Prepare
+	return r.view.Orders(ctx, orders)
+}
+
+func (r *slowRanks) ObserveAll(ctx context.Context, group string, own Observation, counts bool) map[int]Observation {
+	if r.preparing {
+		time.Sleep(3 * switching.ArmWindow / 2)
+	}
+	return r.view.ObserveAll(ctx, group, own, counts)
+}
+
+// TestSlowObservationWhilePreparing guards against giving up each switch whose ranks
+// are observed slowly while they prepare: no pass is held then, so that the guardian
+// can't have acted.
+func TestSlowObservationWhilePreparing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(make([]uint64, 4))
+		go g.run([]uint64{60, 5, 5, 60})
+		l := New(&slowRanks{view: view{g, 0}}, fixedShape{}, discard{}, discard{}, time.Now)
+		time.Sleep(5 * time.Second)
+		_ = l.Close()
+		close(g.stopped)
+		if switches, mixed := g.result(); switches == 0 || mixed {
+			t.Errorf("%d switches, pass on two maps: %t; want some switches and no pass on two maps", switches, mixed)
+		}
+	})
+}
--- a/steward/lead/port.go
+++ b/steward/lead/port.go
@@ -34,8 +34,9 @@
 	ObserveAll(ctx context.Context, group string, own Observation, counts bool) map[int]Observation
 	// QueriedAt returns when another steward last observed the own rank.
 	QueriedAt() time.Time
-	// Order sends an order to the rank that it names.
-	Order(ctx context.Context, o switching.Order) switching.Result
+	// Orders sends orders to the ranks that they name, and returns the results in the
+	// same order.
+	Orders(ctx context.Context, orders []switching.Order) []switching.Result
 }
 
 // Shapes returns the shape of the own group's engines, or false if it is not known
--- a/steward/ranks/ranks.go
+++ b/steward/ranks/ranks.go
@@ -40,6 +40,7 @@
 	observeCall = "/steward/Observe"
 	orderCall   = "/steward/Order"
 	rankCall    = "/steward/Rank"
+	relayCall   = "/steward/Relay"
 )
 
 // Engine is the engine of one rank.
@@ -94,7 +95,7 @@
 
 // Handlers returns the handlers of other stewards' calls.
 func (r *Ranks) Handlers() wire.Handlers {
-	return wire.Handlers{observeCall: r.handleObserve, orderCall: r.handleOrder, rankCall: r.handleRank}
+	return wire.Handlers{observeCall: r.handleObserve, orderCall: r.handleOrder, rankCall: r.handleRank, relayCall: r.handleRelay}
 }
 
 // observeRequest is the request of an observe call.
