Let callers that returned wait for a lost group

Cause: while all groups of a service are lost, a request was refused at once also where its caller had come back after a refusal. Callers return once, so that whoever returned a moment too early got nothing.

A first attempt is still refused at once with the time to return.

Measured: TestLostGroup fails before.

--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -125,14 +125,15 @@
 // chooseTarget chooses a target. If none has capacity, it waits, but ends early
 // enough that the caller still receives the refusal. If all groups of the service
 // are lost, it refuses the request at once with a retry delay, since a lost group
-// is down for seconds.
+// is down for seconds. A late request waits then, too: it is most likely the last
+// that its caller makes, and better answered late than not at all.
 func (d *delivery) chooseTarget(ctx context.Context) choice {
 	waitUntil := d.arrived.Add(min(d.admission.Route.EventTimeout()-waitReserve, d.admission.Deadline.Sub(d.arrived)/waitTimeDivisor))
 	for {
 		capacityFreed := d.service.capacityFreed.Wait()
 		c := d.service.choose(ctx, d.request.Key, d.admission, d.triedTargets)
 		now := d.service.clock()
-		if c.refused == nil || c.refused.Kind != refusal.Busy || d.headSent || !now.Before(waitUntil) || d.service.State().AllGroupsLost(d.admission.Service, now) {
+		if c.refused == nil || c.refused.Kind != refusal.Busy || d.headSent || !now.Before(waitUntil) || !d.admission.Late && d.service.State().AllGroupsLost(d.admission.Service, now) {
 			return c
 		}
 		if now.Sub(d.arrived) > d.admission.Route.LatencyGoal {
--- a/gateway/serve/serve_test.go
+++ b/gateway/serve/serve_test.go
@@ -435,6 +435,46 @@
 	})
 }
 
+// TestLostGroup replays the requests of an outage of all groups of a service that ends
+// 0.8 s later. A caller on its first attempt is refused at once, with the time after
+// which to return. One that returned gets no other attempt, so that it waits for the
+// group and is served.
+func TestLostGroup(t *testing.T) {
+	tests := []struct {
+		name    string
+		timeout time.Duration
+		served  bool
+	}{
+		{"first attempt", 8 * time.Second, false}, {"returned", 5300 * time.Millisecond, true}, {"returned with little time", 500 * time.Millisecond, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				service := serve.New(newState(), &scriptedTargets{script: []step{answer("id: 1\n\n")}}, discard{}, discard{})
+				defer service.Close()
+				lost, _ := service.State().Roster.Target("t0")
+				service.Change(func(s dispatch.State, now time.Time) dispatch.State { return s.WithGroupLost(lost, now.Add(time.Second)) })
+				time.AfterFunc(800*time.Millisecond, func() {
+					service.Change(func(s dispatch.State, now time.Time) dispatch.State { return s.WithGroupRecovered(lost, now.Add(2*time.Second)) })
+				})
+				synctest.Wait()
+				start := time.Now()
+				outcome := service.Serve(t.Context(), serve.Request{ID: "r", Host: "h", Path: "/stream/", Key: "k", Timeout: tt.timeout}, &caller{})
+				took := time.Since(start)
+				if served := outcome.Refusal == nil; served != tt.served {
+					t.Fatalf("refusal = %v after %s, want served: %t", outcome.Refusal, took, tt.served)
+				}
+				if tt.served && took > time.Second || !tt.served && took > tt.timeout/4 {
+					t.Errorf("ended after %s", took)
+				}
+				if !tt.served && (outcome.Refusal.Ran != refusal.No || !outcome.Refusal.Retryable) {
+					t.Errorf("refusal = %v, want ran=no and a time to return", outcome.Refusal)
+				}
+			})
+		})
+	}
+}
+
 // TestDrain checks that a draining gateway answers the requests in flight and
 // refuses new ones.
 func TestDrain(t *testing.T) {
