--- a/gateway/serve/serve_test.go
+++ b/gateway/serve/serve_test.go
@@ -453,9 +453,13 @@
 				service := serve.New(newState(), &scriptedTargets{script: []step{answer("id: 1\n\n")}}, discard{}, discard{})
 				defer service.Close()
 				lost, _ := service.State().Roster.Target("t0")
-				service.Change(func(s dispatch.State, now time.Time) dispatch.State { return s.WithGroupLost(lost, now.Add(time.Second)) })
+				service.Change(func(s dispatch.State, now time.Time) dispatch.State {
+					return s.WithGroupLost(lost, now.Add(time.Second))
+				})
 				time.AfterFunc(800*time.Millisecond, func() {
-					service.Change(func(s dispatch.State, now time.Time) dispatch.State { return s.WithGroupRecovered(lost, now.Add(2*time.Second)) })
+					service.Change(func(s dispatch.State, now time.Time) dispatch.State {
+						return s.WithGroupRecovered(lost, now.Add(2*time.Second))
+					})
 				})
 				synctest.Wait()
 				start := time.Now()
