Divide only services with many targets, and report ends at ticks

One target stood in each failure domain, so that one cell had it and the other none. Besides, the end of a request was told to other cells only when a report came their way again, up to 3 s later: a booking of 15 ms counted for seconds.

Change: a service with fewer than four targets a cell is not divided. Peers that got a report of a send get one at the next tick, too.

Measured: TestSmallServiceIsNotDivided fails before (6 of 10 requests at one target of five).

--- a/core/dispatch/cell.go
+++ b/core/dispatch/cell.go
@@ -21,6 +21,7 @@
 const (
 	maxUndivided   = 13 // gateways; on a smaller site each tells all others about each request
 	maxCellMembers = 16 // gateways of a cell
+	minCellTargets = 4  // targets of a service for each cell of a failure domain; a service with fewer is not divided
 
 	homeLoadTimeout = 2 * time.Second // age at which a report of a cell's loads is dropped
 )
@@ -97,8 +98,8 @@
 }
 
 // withTargetCells returns the state with the cells of the targets computed anew. The
-// targets of a service in a failure domain are divided among its cells. Those in a
-// failure domain without gateways belong to no cell.
+// targets of a service in a failure domain are divided among its cells. Those of a
+// service with few targets, or in a failure domain without gateways, belong to no cell.
 func (s State) withTargetCells() State {
 	s.targetCells = nil
 	if !s.division.Divided() {
@@ -114,7 +115,7 @@
 	s.targetCells = map[string]cell{}
 	for p, list := range addresses {
 		count := s.division.counts[p.domain]
-		if count == 0 {
+		if count == 0 || len(list) < count*minCellTargets {
 			continue
 		}
 		sortByHash(list)
@@ -125,14 +126,10 @@
 	return s
 }
 
-// isHome reports whether the target belongs to the gateway's cell. All targets do on
-// a site that is not divided.
+// isHome reports whether the target is one of the gateway's cell, or of no cell.
 func (s State) isHome(t roster.Target) bool {
-	if !s.division.Divided() {
-		return true
-	}
 	c, found := s.targetCells[t.Address]
-	return found && c == s.division.own
+	return !found || c == s.division.own
 }
 
 // Audience returns the addresses of the gateways that must hear of this gateway's
@@ -146,7 +143,9 @@
 	for i := s.views.Iterator(); !i.Done(); {
 		id, view, _ := i.Next()
 		if t, listed := s.Roster.Target(id); listed && view.InFlight > 0 {
-			cells[s.targetCells[t.Address]] = true
+			if c, found := s.targetCells[t.Address]; found {
+				cells[c] = true
+			}
 		}
 	}
 	var list []string
@@ -165,7 +164,7 @@
 		return loads
 	}
 	for _, t := range s.Roster.Targets() {
-		if s.isHome(t) {
+		if c, found := s.targetCells[t.Address]; found && c == s.division.own {
 			loads[t.ID] = s.View(t.ID).InFlight + s.peers.load(t.ID)
 		}
 	}
--- a/core/dispatch/cell_test.go
+++ b/core/dispatch/cell_test.go
@@ -18,8 +18,12 @@
 		gateways []int // by failure domain
 		cells    int   // of the first failure domain; 0 if the site is not divided
 	}{
-		{"one", []int{1}, 0}, {"small", []int{5, 4, 4}, 0}, {"one more", []int{5, 5, 4}, 1}, {"44", []int{15, 15, 14}, 1},
-		{"149", []int{30, 30, 30, 30, 29}, 2}, {"470 in one domain", []int{470}, 30},
+		{"one", []int{1}, 0},
+		{"small", []int{5, 4, 4}, 0},
+		{"one more", []int{5, 5, 4}, 1},
+		{"44", []int{15, 15, 14}, 1},
+		{"149", []int{30, 30, 30, 30, 29}, 2},
+		{"470 in one domain", []int{470}, 30},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -60,6 +64,44 @@
 	}
 }
 
+// TestSmallServiceIsNotDivided guards against sending all requests of a failure domain
+// for a plain service to its only target there, or to none of its own: a service with
+// few targets is shared by all cells, as on a small site.
+func TestSmallServiceIsNotDivided(t *testing.T) {
+	gateways := map[string][]string{}
+	var list []roster.Target
+	for domain := range 5 {
+		name := fmt.Sprint("d", domain)
+		for i := range 30 {
+			gateways[name] = append(gateways[name], fmt.Sprintf("10.%d.0.%d:1", domain, i))
+		}
+		address := fmt.Sprintf("10.%d.64.1:1", domain)
+		list = append(list, roster.Target{ID: address, Service: "s", Domain: name, Address: address, Slots: 6, Revision: 1})
+	}
+	for domain, addresses := range gateways {
+		for _, own := range addresses {
+			s := dispatch.New(own, domain, bounds).WithUpdate(dispatch.Update{Targets: list, ReadAt: at(0)}, at(0)).WithDivision(dispatch.NewDivision(own, gateways))
+			counts := map[string]int{}
+			for range 10 {
+				next, chosen, refused := s.Choose(dispatch.Admission{Service: "s"}, nil, lowestRandom{}, at(0))
+				if refused != nil {
+					t.Fatalf("%s refused a request while all targets are free: %v", own, refused)
+				}
+				s = next
+				counts[chosen.ID]++
+			}
+			for id, n := range counts {
+				if n > 3 {
+					t.Errorf("%s sent %d of 10 requests to %s, want them spread over the five targets", own, n, id)
+				}
+			}
+			if loads := s.HomeLoads(); len(loads) != 0 {
+				t.Errorf("HomeLoads = %v, want none of a service that is not divided", loads)
+			}
+		}
+	}
+}
+
 // TestPlacementOnLargeSites replays the load of a site with many gateways, each of which
 // sends few requests and hears of most others' requests only after they ended: 60
 // gateways before 50 targets with 6 places, four fifths of which are taken, in two
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -32,9 +32,11 @@
 	runningTimeout    = 5 * time.Second        // a peer without a report for longer does not count as running; with some hundred gateways a peer's turn comes every few seconds
 	maxPeers          = 512
 	readerCount       = 6               // gateways that read the store; some remain if a failure domain is lost
-	addressTicks      = 5               // reportIntervals between reports that include the addresses of peers
+	addressTicks      = 5               // reportIntervals between reports that include the addresses of peers and all ranks known
+	firstTicks        = 10              // reportIntervals after the start in which all reports include them
 	sendFanout        = 12              // peers that get a report when a request is sent, in rotation; a small site has no more peers
 	tickFanout        = 24              // peers that get a report at each reportInterval: readers of the store first, others in rotation
+	minRotation       = 12              // peers in rotation at each reportInterval
 	reportLifetime    = time.Second     // how long a report shows that a peer reads the store
 	failureLifetime   = 2 * time.Second // how long a failed read is reported; targets whose entries expired in an outage are listed again by then
 )
@@ -86,12 +88,13 @@
 	service Service
 	inbox   *follow.Inbox
 	clock   func() time.Time
-	ranks   func() []dispatch.RankReport
+	ranks   func(all bool) []dispatch.RankReport
 
 	mu          sync.Mutex
 	statuses    map[string]peerStatus // by address; guarded by mu
 	behindSince time.Time             // when a peer first reported a newer revision; zero once this gateway has caught up; guarded by mu
 	division    dispatch.Division     // owned by run
+	told        map[string]bool       // peers that got a report since the last tick because a request was sent; owned by run
 	cursor      int                   // position in the rotation of peers; owned by run
 
 	fetching   sync.Mutex // held while syncFrom fetches, so that it fetches from one peer at a time
@@ -101,9 +104,9 @@
 // Option configures Peers.
 type Option func(*Peers)
 
-// WithRanks sets a function that returns what stewards reported to this gateway.
-// Reports to peers include it.
-func WithRanks(ranks func() []dispatch.RankReport) Option {
+// WithRanks sets a function that returns what stewards reported to this gateway, all of
+// it or what changed recently. Reports to peers include it.
+func WithRanks(ranks func(all bool) []dispatch.RankReport) Option {
 	return func(p *Peers) { p.ranks = ranks }
 }
 
@@ -112,7 +115,7 @@
 func New(name, address string, seeds func() []string, client *wire.Client, service Service, inbox *follow.Inbox, clock func() time.Time, options ...Option) *Peers {
 	p := &Peers{
 		name: name, address: address, seeds: seeds, client: client, service: service, inbox: inbox, clock: clock, statuses: map[string]peerStatus{},
-		ranks: func() []dispatch.RankReport { return nil },
+		told: map[string]bool{}, ranks: func(bool) []dispatch.RankReport { return nil },
 	}
 	for _, option := range options {
 		option(p)
@@ -142,7 +145,7 @@
 		if ticked {
 			p.updateDivision()
 		}
-		r := p.newReport(ticked, ticked && ticks%addressTicks == 0)
+		r := p.newReport(ticked, ticked && (ticks%addressTicks == 0 || ticks < firstTicks))
 		for _, address := range p.nextPeers(ticked) {
 			p.tomb.Go(exchange{peers: p, address: address, report: r}.run)
 		}
@@ -163,19 +166,31 @@
 // selects a limited number in rotation, so that the number of all reports grows
 // in proportion to the number of gateways. At a tick of reportInterval, peers that
 // read the store come first, since changes come from them. On a site that is divided
-// into cells, a request that is sent is reported to those that use its target.
+// into cells, a request that is sent is reported to those that use its target; at the
+// next tick, they learn what has ended meanwhile.
 func (p *Peers) nextPeers(ticked bool) []string {
 	if audience := p.service.State().Audience(); !ticked && len(audience) > 0 {
+		for _, address := range audience {
+			p.told[address] = true
+		}
 		return slices.DeleteFunc(audience, func(address string) bool { return address == p.address })
 	}
 	addresses, limit := p.addresses(), sendFanout
 	var list []string
 	if ticked {
-		limit = tickFanout
+		for _, address := range addresses {
+			if p.told[address] {
+				list = append(list, address)
+			}
+		}
+		clear(p.told)
+		limit = max(tickFanout, len(list)+readerCount+minRotation)
+		readers := 0
 		p.mu.Lock()
 		for _, address := range addresses {
-			if p.statuses[address].isReader && len(list) < readerCount {
+			if p.statuses[address].isReader && readers < readerCount && !slices.Contains(list, address) {
 				list = append(list, address)
+				readers++
 			}
 		}
 		p.mu.Unlock()
@@ -232,7 +247,8 @@
 }
 
 // newReport returns this gateway's report. If full is set, it includes the loads of
-// the cell and the ranks of targets; with withPeers, the addresses of the peers.
+// the cell and the ranks of targets that changed; with withPeers, all ranks known and the addresses
+// of the peers.
 func (p *Peers) newReport(full, withPeers bool) report {
 	revision, syncedAt, listed := p.inbox.Mirror().SyncState()
 	state, access, now := p.service.State(), p.inbox.Mirror().StoreAccess(), p.clock()
@@ -242,7 +258,7 @@
 		Conditions: encodeConditions(state.Conditions(now), now),
 	}
 	if full {
-		r.Full, r.Home, r.Ranks = true, state.HomeLoads(), encodeRanks(p.ranks(), now)
+		r.Full, r.Home, r.Ranks = true, state.HomeLoads(), encodeRanks(p.ranks(withPeers), now)
 	}
 	if since := now.Sub(access.LastFailure); since < failureLifetime {
 		r.FailureAge = &since
--- a/gateway/survey/survey.go
+++ b/gateway/survey/survey.go
@@ -33,6 +33,7 @@
 	askedBy         = 3                      // gateways that ask each steward; one is left if a failure domain is cut off
 	lostSampleRanks = 4                      // ranks of a lost group whose stewards are asked each round
 	reportLifetime  = 2500 * time.Millisecond
+	changeLifetime  = 3 * time.Second // a change has been reported to most peers by then
 )
 
 // Service is the gateway whose state the reports are applied to.
@@ -51,9 +52,10 @@
 	service  Service
 	clock    func() time.Time
 
-	mu      sync.Mutex
-	reports map[string]dispatch.RankReport // latest answers by target; guarded by mu
-	askedAt map[string]time.Time           // by target; owned by run
+	mu        sync.Mutex
+	reports   map[string]dispatch.RankReport // latest answers by target; guarded by mu
+	changedAt map[string]time.Time           // when a rank last changed, by target; guarded by mu
+	askedAt   map[string]time.Time           // by target; owned by run
 }
 
 // New starts a survey, which runs until Close. All stewards listen on the same port,
@@ -62,7 +64,7 @@
 func New(address string, port int, gateways func() []string, client *wire.Client, service Service, clock func() time.Time) *Survey {
 	s := &Survey{
 		address: address, port: strconv.Itoa(port), gateways: gateways, client: client, service: service, clock: clock,
-		reports: map[string]dispatch.RankReport{}, askedAt: map[string]time.Time{},
+		reports: map[string]dispatch.RankReport{}, changedAt: map[string]time.Time{}, askedAt: map[string]time.Time{},
 	}
 	s.tomb.Go(s.run)
 	return s
@@ -74,17 +76,21 @@
 	return s.tomb.Wait()
 }
 
-// Reports returns what stewards recently reported to this gateway, sorted by target.
-func (s *Survey) Reports() []dispatch.RankReport {
+// Reports returns what stewards recently reported to this gateway, sorted by target:
+// all of it, or of the ranks that changed within changeLifetime.
+func (s *Survey) Reports(all bool) []dispatch.RankReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []dispatch.RankReport
 	for target, r := range s.reports {
 		if s.clock().Sub(r.ReadAt) > reportLifetime {
 			delete(s.reports, target)
+			delete(s.changedAt, target)
 			continue
 		}
-		list = append(list, r)
+		if all || s.clock().Sub(s.changedAt[target]) <= changeLifetime {
+			list = append(list, r)
+		}
 	}
 	slices.SortFunc(list, func(a, b dispatch.RankReport) int { return cmp.Compare(a.Target, b.Target) })
 	return list
@@ -120,6 +126,9 @@
 	}
 	s.mu.Lock()
 	for _, r := range reports {
+		if changed(s.reports[r.Target].Rank, r.Rank) {
+			s.changedAt[r.Target] = r.ReadAt
+		}
 		s.reports[r.Target] = r
 	}
 	s.mu.Unlock()
@@ -128,6 +137,13 @@
 	})
 }
 
+// changed reports whether a rank changed in what gateways act on.
+func changed(before, after roster.Rank) bool {
+	before.Pace, after.Pace = 0, 0
+	before.Map, after.Map = min(before.Map, 1), min(after.Map, 1) // whether the group still uses its first map
+	return before != after
+}
+
 // due returns the targets whose stewards this gateway asks now.
 func (s *Survey) due() []roster.Target {
 	state, now, gateways := s.service.State(), s.clock(), s.gateways()
--- a/gateway/survey/survey_test.go
+++ b/gateway/survey/survey_test.go
@@ -113,7 +113,7 @@
 	eventually(t, "both groups are known", func() bool {
 		one, _ := gateway.State().Rank("127.0.0.1:1")
 		two, _ := gateway.State().Rank("127.0.0.2:1")
-		return one.Rank.Group == "one" && two.Rank.Group == "two" && len(s.Reports()) == 2
+		return one.Rank.Group == "one" && two.Rank.Group == "two" && len(s.Reports(true)) == 2 && len(s.Reports(false)) == 2
 	})
 	a, _ := gateway.State().Roster.Target("a")
 	gateway.Change(func(state dispatch.State, now time.Time) dispatch.State { return state.WithGroupLost(a, now) })
