--- /dev/null
+++ b/gateway/serve/failure_test.go
@@ -0,0 +1,165 @@
+package serve_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"hornbeamtray/core/dispatch"
+	"hornbeamtray/core/refusal"
+	"hornbeamtray/gateway/serve"
+)
+
+// TestAnswerNotDelivered guards against running a request again after its answer was
+// lost on the way to the caller, whose disconnection the gateway may not know yet: the
+// attempt ran, and the refusal must not say otherwise.
+func TestAnswerNotDelivered(t *testing.T) {
+	tests := []struct {
+		name   string
+		path   string
+		caller caller
+		answer step
+	}{
+		{"a body, the caller gone", "/once/", caller{disconnected: true}, answer("x")},
+		{"a head, the caller gone", "/once/", caller{noHead: true}, answer("x")},
+		{"an answer without a body", "/once/", caller{noHead: true}, answer()},
+		{"a large body", "/once/", caller{disconnected: true}, answer(strings.Repeat("x", 16<<10), strings.Repeat("x", 16<<10), strings.Repeat("x", 16<<10), strings.Repeat("x", 16<<10))},
+		{"a stream that can't be resumed", "/single/", caller{disconnected: true}, answer("id: 1\n\n")},
+		{"a stream without events", "/single/", caller{noHead: true}, answer()},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fake := &scriptedTargets{script: []step{tt.answer, answer("x")}}
+				service := serve.New(newState(), fake, discard{}, discard{})
+				defer service.Close()
+				outcome := service.Serve(t.Context(), serve.Request{ID: "r", Host: "h", Path: tt.path, Key: "k"}, &tt.caller)
+				if len(fake.calls) != 1 {
+					t.Errorf("the request was sent %d times, want once", len(fake.calls))
+				}
+				if outcome.Refusal == nil || outcome.Refusal.Ran == refusal.No {
+					t.Errorf("refusal = %v, want one that does not say that the request did not run", outcome.Refusal)
+				}
+			})
+		})
+	}
+}
+
+// TestDribblingStream checks that progress of a stream is measured in events: one whose
+// target sends a byte now and then but no event moves on to another target before the
+// caller gives up, and one that is slow but sound, with parts of each event arriving
+// one by one, is not cut.
+func TestDribblingStream(t *testing.T) {
+	dribble := answer(strings.Split("data: "+strings.Repeat("x", 100), "")...)
+	dribble.partDelay = 500 * time.Millisecond
+	var parts []string
+	for n := range 6 {
+		parts = append(parts, fmt.Sprintf("id: %d\n", n), "data: a", "bc\n\n")
+	}
+	slow := answer(parts...)
+	slow.partDelay = 500 * time.Millisecond
+	tests := []struct {
+		name  string
+		first step
+		calls int
+	}{
+		{"stalled", dribble, 2}, {"sound", slow, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fake := &scriptedTargets{script: []step{tt.first, answer("id: 9\n\n")}}
+				service := serve.New(newState(), fake, discard{}, discard{})
+				defer service.Close()
+				start := time.Now()
+				outcome := service.Serve(t.Context(), serve.Request{ID: "r", Host: "h", Path: "/slow/", Key: "k"}, &caller{})
+				if outcome.Refusal != nil || len(fake.calls) != tt.calls {
+					t.Errorf("refusal = %v after %d calls, want none after %d", outcome.Refusal, len(fake.calls), tt.calls)
+				}
+				if took := time.Since(start); tt.calls == 2 && took > 4*time.Second {
+					t.Errorf("the stalled stream was given up after %s, want before the caller gives up after 4 s", took)
+				}
+			})
+		})
+	}
+}
+
+// TestEventsWithoutID checks that a stream is resumed after its last event that has
+// an ID, also if events without one followed: resumed from its start, it would repeat
+// events.
+func TestEventsWithoutID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := &scriptedTargets{script: []step{
+			{head: serve.Head{Status: 200, Signed: true}, parts: []string{"data: x\n\n"}, breaksOff: true}, answer("id: 8\n\n"),
+		}}
+		service := serve.New(newState(), fake, discard{}, discard{})
+		defer service.Close()
+		service.Serve(t.Context(), serve.Request{ID: "r", Host: "h", Path: "/stream/", Key: "k", LastEventID: "7"}, &caller{})
+		if len(fake.calls) != 2 || fake.calls[1].LastEventID != "7" {
+			t.Errorf("calls are %+v, want the second with LastEventID 7", fake.calls)
+		}
+	})
+}
+
+// TestEndlessEvent checks that a target that sends an event without end is given up
+// long before the event fills the memory.
+func TestEndlessEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := &endlessTargets{event: "data: xxxxxxxxxx\n"}
+		service := serve.New(newState(), fake, discard{}, discard{})
+		defer service.Close()
+		outcome := service.Serve(t.Context(), serve.Request{ID: "r", Host: "h", Path: "/single/", Key: "k"}, &caller{})
+		if outcome.Refusal == nil || outcome.Refusal.Ran == refusal.No {
+			t.Errorf("refusal = %v, want one that does not say that the request did not run", outcome.Refusal)
+		}
+		if read := fake.read.Load(); read > 4<<20 {
+			t.Errorf("%d bytes of one event were read, want at most 4 MiB", read)
+		}
+	})
+}
+
+// TestLostGroup replays the requests of an outage of all groups of a service that ends
+// 0.8 s later. A caller on its first attempt is refused at once, with the time after
+// which to return. One that returned gets no other attempt, so that it waits for the
+// group and is served.
+func TestLostGroup(t *testing.T) {
+	tests := []struct {
+		name    string
+		timeout time.Duration
+		served  bool
+	}{
+		{"first attempt", 8 * time.Second, false}, {"returned", 5300 * time.Millisecond, true}, {"returned with little time", 500 * time.Millisecond, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				service := serve.New(newState(), &scriptedTargets{script: []step{answer("id: 1\n\n")}}, discard{}, discard{})
+				defer service.Close()
+				lost, _ := service.State().Roster.Target("t0")
+				service.Change(func(s dispatch.State, now time.Time) dispatch.State {
+					return s.WithGroupLost(lost, now.Add(time.Second))
+				})
+				time.AfterFunc(800*time.Millisecond, func() {
+					service.Change(func(s dispatch.State, now time.Time) dispatch.State {
+						return s.WithGroupRecovered(lost, now.Add(2*time.Second))
+					})
+				})
+				synctest.Wait()
+				start := time.Now()
+				outcome := service.Serve(t.Context(), serve.Request{ID: "r", Host: "h", Path: "/stream/", Key: "k", Timeout: tt.timeout}, &caller{})
+				took := time.Since(start)
+				if served := outcome.Refusal == nil; served != tt.served {
+					t.Fatalf("refusal = %v after %s, want served: %t", outcome.Refusal, took, tt.served)
+				}
+				if tt.served && took > time.Second || !tt.served && took > tt.timeout/4 {
+					t.Errorf("ended after %s", took)
+				}
+				if !tt.served && (outcome.Refusal.Ran != refusal.No || !outcome.Refusal.Retryable) {
+					t.Errorf("refusal = %v, want ran=no and a time to return", outcome.Refusal)
+				}
+			})
+		})
+	}
+}
