--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -132,6 +132,48 @@
 	eventually(t, "a gateway with the same seed has counted the request in flight", func() bool { return nextTarget(three) == "b" })
 }
 
+// TestDividedSite checks that on a site with many gateways those of a cell learn of each
+// other's requests when they are sent, and of their end soon after: a short request must
+// not count until the gateway's next turn in the rotation of all peers.
+func TestDividedSite(t *testing.T) {
+	const gateways = 15
+	first := startGateway(t, "first", "")
+	all := []gateway{first}
+	for i := range gateways - 1 {
+		all = append(all, startGateway(t, "other "+strconv.Itoa(i), first.address))
+	}
+	eventually(t, "all gateways know their cell", func() bool {
+		for _, g := range all {
+			if len(g.service.State().Audience()) != gateways {
+				return false
+			}
+		}
+		return true
+	})
+	all[3].service.send(t) // to a, the first of two equal targets
+	eventually(t, "the cell has counted the request in flight", func() bool {
+		for _, g := range all {
+			if nextTarget(g) != "b" {
+				return false
+			}
+		}
+		return true
+	})
+	ended := time.Now()
+	all[3].service.Change(func(s dispatch.State, now time.Time) dispatch.State { return s.WithAttempt("a", false, now) })
+	eventually(t, "the cell knows that the request ended", func() bool {
+		for _, g := range all {
+			if nextTarget(g) != "a" {
+				return false
+			}
+		}
+		return true
+	})
+	if took := time.Since(ended); took > 1500*time.Millisecond {
+		t.Errorf("the cell learned after %s that the request ended, want two ticks and a margin for a busy machine", took)
+	}
+}
+
 func TestFetchNewest(t *testing.T) {
 	one := startGateway(t, "one", "")
 	two := startGateway(t, "two", one.address)
