Divide no site of more than 64 gateways

On a divided site a gateway reports each send to all gateways of each cell where it has requests, and again at the next tick; when places are scarce that is nearly every gateway.

Change: sites of more than 64 gateways keep reports in rotation, as before cells.

Measured: by tests alone so far; sites of up to 64 gateways are as they were.

--- a/core/dispatch/cell.go
+++ b/core/dispatch/cell.go
@@ -20,6 +20,7 @@
 // free place for.
 const (
 	maxUndivided   = 13 // gateways; on a smaller site each tells all others about each request
+	maxDivided     = 64 // gateways; on a larger site the reports between cells take too much processor time when requests go to many cells
 	maxCellMembers = 16 // gateways of a cell
 	minCellTargets = 4  // targets of a service for each cell of a failure domain; a service with fewer is not divided
 
@@ -49,7 +50,7 @@
 	for _, addresses := range gateways {
 		d.gateways += len(addresses)
 	}
-	if d.gateways <= maxUndivided {
+	if d.gateways <= maxUndivided || d.gateways > maxDivided {
 		return Division{}
 	}
 	for domain, addresses := range gateways {
