--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -160,7 +160,9 @@
 		return true
 	})
 	ended := time.Now()
-	all[3].service.Change(func(s dispatch.State, now time.Time) dispatch.State { return s.WithResponse("a").WithAttempt("a", false, now) })
+	all[3].service.Change(func(s dispatch.State, now time.Time) dispatch.State {
+		return s.WithResponse("a").WithAttempt("a", false, now)
+	})
 	eventually(t, "the cell knows that the request ended", func() bool {
 		for _, g := range all {
 			if nextTarget(g) != "a" {
