--- a/core/dispatch/group.go
+++ b/core/dispatch/group.go
@@ -65,8 +65,8 @@
 	nextProbes map[GroupID]time.Time // next attempt at each lost group
 }
 
-// group returns the group of a target. It is the zero GroupID for a target of a
-// service without groups.
+// group returns the group of a target. Its name is empty if no steward has reported
+// the target's rank, as for all targets of a plain service.
 func (s State) group(t roster.Target) GroupID {
 	return GroupID{Service: t.Service, Name: s.groups.ranks[t.Address].Rank.Group}
 }
