Log parts of the prompt, progress and end of broken attempts

Cause: the lines of a broken attempt did not say what its request had in common with others, how much of the answer had arrived, or who ended the connection; so a part of the content that crashes targets looked like an overload.

No decision uses them yet.

--- a/adapter/pool/limit.go
+++ b/adapter/pool/limit.go
@@ -15,6 +15,7 @@
 	source    io.Reader
 	limited   bool
 	remaining int64 // if limited
+	failure   error // the latest error of source; nil for none
 }
 
 func (l *limitedReader) limit(n int64) { l.limited, l.remaining = true, n }
@@ -23,13 +24,14 @@
 
 // Read implements io.Reader.
 func (l *limitedReader) Read(p []byte) (int, error) {
-	if !l.limited {
-		return l.source.Read(p)
+	if l.limited {
+		if l.remaining <= 0 {
+			return 0, ErrTooManyBytes
+		}
+		p = p[:min(int64(len(p)), l.remaining)]
 	}
-	if l.remaining <= 0 {
-		return 0, ErrTooManyBytes
-	}
-	n, err := l.source.Read(p[:min(int64(len(p)), l.remaining)])
+	n, err := l.source.Read(p)
 	l.remaining -= int64(n)
+	l.failure = err
 	return n, err
 }
--- a/adapter/pool/pool.go
+++ b/adapter/pool/pool.go
@@ -9,6 +9,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -169,6 +171,12 @@
 // Reader returns the buffered reader of the connection.
 func (c *Conn) Reader() *bufio.Reader { return c.reader }
 
+// TargetClosed reports whether the latest read found that the target had closed or
+// reset the connection.
+func (c *Conn) TargetClosed() bool {
+	return errors.Is(c.limited.failure, io.EOF) || errors.Is(c.limited.failure, syscall.ECONNRESET)
+}
+
 // LimitReads makes Reader fail with ErrTooManyBytes once it has read n more bytes from
 // the connection. Up to one read buffer of bytes that follow counts as read.
 func (c *Conn) LimitReads(n int64) { c.limited.limit(n) }
--- a/core/events/splitter.go
+++ b/core/events/splitter.go
@@ -11,6 +11,7 @@
 // each run needs its own Splitter. The zero value is ready to use.
 type Splitter struct {
 	partial []byte
+	events  int
 	lastID  string
 }
 
@@ -35,10 +36,14 @@
 	n += searched
 	whole := bytes.Clone(s.partial[:n+len(eventEnd)])
 	s.partial = append(s.partial[:0], s.partial[n+len(eventEnd):]...)
+	s.events += bytes.Count(whole, eventEnd)
 	s.recordLastID(whole)
 	return whole
 }
 
+// Events returns the number of complete events.
+func (s *Splitter) Events() int { return s.events }
+
 // LastID returns the ID of the last complete event that has one, or "" if there
 // is none.
 func (s *Splitter) LastID() string { return s.lastID }
--- a/core/events/splitter_test.go
+++ b/core/events/splitter_test.go
@@ -14,12 +14,13 @@
 		want    []string
 		last    string
 		partial bool
+		events  int
 	}{
-		{"one complete event", []string{"id: 1\ndata: a\n\n"}, []string{"id: 1\ndata: a\n\n"}, "1", false},
-		{"event in several parts", []string{"id: 1\nda", "ta: a\n", "\nid: 2"}, []string{"", "", "id: 1\ndata: a\n\n"}, "1", true},
-		{"several at once", []string{"id: 1\n\nid: 2\n\nid: 3\n"}, []string{"id: 1\n\nid: 2\n\n"}, "2", true},
-		{"blank line in two parts", []string{"id:7\ndata: x\n", "\n"}, []string{"", "id:7\ndata: x\n\n"}, "7", false},
-		{"no ID", []string{"data: x\n\n"}, []string{"data: x\n\n"}, "", false},
+		{"one complete event", []string{"id: 1\ndata: a\n\n"}, []string{"id: 1\ndata: a\n\n"}, "1", false, 1},
+		{"event in several parts", []string{"id: 1\nda", "ta: a\n", "\nid: 2"}, []string{"", "", "id: 1\ndata: a\n\n"}, "1", true, 1},
+		{"several at once", []string{"id: 1\n\nid: 2\n\nid: 3\n"}, []string{"id: 1\n\nid: 2\n\n"}, "2", true, 2},
+		{"blank line in two parts", []string{"id:7\ndata: x\n", "\n"}, []string{"", "id:7\ndata: x\n\n"}, "7", false, 1},
+		{"no ID", []string{"data: x\n\n"}, []string{"data: x\n\n"}, "", false, 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -28,8 +29,8 @@
 			for _, part := range tt.parts {
 				got = append(got, string(s.Split([]byte(part))))
 			}
-			if !slices.Equal(got, tt.want) || s.LastID() != tt.last || s.Partial() != tt.partial {
-				t.Errorf("events = %q, last ID = %q, partial = %t, want %q, %q, %t", got, s.LastID(), s.Partial(), tt.want, tt.last, tt.partial)
+			if !slices.Equal(got, tt.want) || s.LastID() != tt.last || s.Partial() != tt.partial || s.Events() != tt.events {
+				t.Errorf("events = %q (%d), last ID = %q, partial = %t, want %q (%d), %q, %t", got, s.Events(), s.LastID(), s.Partial(), tt.want, tt.events, tt.last, tt.partial)
 			}
 		})
 	}
--- a/gateway/serve/deliver.go
+++ b/gateway/serve/deliver.go
@@ -92,6 +92,7 @@
 			d.service.recordResponse(d.target.ID)
 		}
 		if complete := splitter.Split(buffer[:n]); len(complete) > 0 {
+			d.events = splitter.Events()
 			if !d.deliverEvents(reply.Head(), complete, splitter.LastID()) {
 				return d.newAttempt(retry.Abandoned), false
 			}
--- a/gateway/serve/port.go
+++ b/gateway/serve/port.go
@@ -48,6 +48,10 @@
 // ErrNotSent is wrapped by errors of Send if the gateway sent no byte of the request.
 var ErrNotSent = errors.New("no byte of the request was sent")
 
+// ErrClosed is wrapped by errors of Send and Reply.Read if the target closed or reset
+// the connection before its answer was complete.
+var ErrClosed = errors.New("the target closed the connection before its answer was complete")
+
 // Reply is an answer that a target is sending.
 type Reply interface {
 	Head() Head
--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"hornbeamtray/core/dispatch"
@@ -32,6 +33,7 @@
 	Key         string
 	Timeout     time.Duration // Timeout is how long the caller waits; 0 means no limit.
 	LastEventID string        // LastEventID is the ID of the last event that the caller received; empty for none.
+	Parts       []string      // Parts are the IDs of the parts of the prompt that other requests may share, in order.
 }
 
 // Outcome is the result of a request. If Refusal is nil, the caller received a
@@ -73,6 +75,8 @@
 	possibleRuns int         // attempts that may have run
 	ran          refusal.Ran // whether the request ran: the most cautious statement of all attempts
 	headSent     bool
+	headReceived bool     // of the current attempt's answer
+	events       int      // complete events of the current attempt's answer
 	lastEventID  string   // ID of the last event that the caller received
 	failure      *failure // the latest error answer of a target; nil for none
 
@@ -188,6 +192,7 @@
 // attempt sends the request to the target once and delivers the answer. It returns
 // how the attempt ended, and whether the caller received a complete answer.
 func (d *delivery) attempt(ctx context.Context) (retry.Attempt, bool) {
+	d.headReceived, d.events = false, 0
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	left := d.admission.Deadline.Sub(d.service.clock())
@@ -212,6 +217,7 @@
 	}
 	defer reply.Close()
 	d.service.recordResponse(d.target.ID)
+	d.headReceived = true
 	head := reply.Head()
 	switch {
 	case head.NotRun:
@@ -262,6 +268,9 @@
 func (d *delivery) logFailure(how string, err error, pairs ...any) {
 	d.service.meter.Inc("attempts", how)
 	pairs = append([]any{"request", d.request.ID, "target", d.target.ID, "how", how, "revision", d.target.Revision}, pairs...)
+	if err != nil && !errors.Is(err, ErrNotSent) {
+		pairs = append(pairs, "closed", errors.Is(err, ErrClosed), "head", d.headReceived, "events", d.events, "parts", strings.Join(d.request.Parts, ","))
+	}
 	if err != nil {
 		pairs = append(pairs, "error", err.Error())
 	}
