End attempts in flight when a part of their prompt is quarantined

One crash was followed by up to three more within 70 ms: requests with the same part already waited at other targets when the part was quarantined. A gateway that restarted learned of older quarantines only every two seconds.

Change: attempts with an unproven part end when the part is newly quarantined; the trial of a part that is quarantined already goes on. Each report to peers names up to 16 quarantined parts, however old.

--- a/core/dispatch/suspect.go
+++ b/core/dispatch/suspect.go
@@ -39,6 +39,10 @@
 // Quarantined returns the parts of prompts that are kept from targets.
 func (s State) Quarantined() []string { return s.quarantine.Quarantined() }
 
+// QuarantineRevision returns a number that is higher after each change of the suspected
+// parts.
+func (s State) QuarantineRevision() int { return s.quarantine.Revision() }
+
 // withQuarantine returns the state with a new list of suspected parts, and records in
 // the trail which ones are now quarantined or no longer are.
 func (s State) withQuarantine(after quarantine.List, cause string, now time.Time) State {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -23,6 +23,7 @@
 	shareEvidence = 5 * time.Second  // how long a change is reported to peers
 	maxProven     = 8192             // parts in each of two generations
 	maxSuspicions = 256
+	maxRepeated   = 16 // quarantined parts of which each report to peers tells, however old: a peer may have restarted
 )
 
 // entry is a suspicion of the list.
@@ -36,6 +37,7 @@
 type List struct {
 	spread      float64                          // added to each period, as a fraction of it
 	entries     *immutable.Map[string, entry]    // by part
+	revision    int                              // counts the changes of entries
 	proven      *immutable.Map[string, struct{}] // parts proven most recently
 	provenOlder *immutable.Map[string, struct{}] // the generation of proven parts before
 }
@@ -123,9 +125,13 @@
 		l.entries = l.entries.Delete(oldest.Part)
 	}
 	l.entries = l.entries.Set(s.Part, entry{Suspicion: s, changedAt: now})
+	l.revision++
 	return l
 }
 
+// Revision returns a number that is higher after each change of a suspicion.
+func (l List) Revision() int { return l.revision }
+
 // WithSuspicions returns the list after a peer reported its suspicions. Parts that are
 // proven here stay so, and the peer learns it in turn.
 func (l List) WithSuspicions(reports []Suspicion, now time.Time) List {
@@ -149,14 +155,20 @@
 	return l
 }
 
-// Suspicions returns the suspicions that changed recently, or all of them, for peers.
+// Suspicions returns, for peers, the suspicions that changed recently and some of the
+// quarantined parts, those that crashed a target last, or all suspicions.
 func (l List) Suspicions(all bool, now time.Time) []Suspicion {
-	var list []Suspicion
+	var list, older []Suspicion
 	for i := l.entries.Iterator(); !i.Done(); {
-		if _, e, _ := i.Next(); all || now.Sub(e.changedAt) <= shareEvidence {
+		switch _, e, _ := i.Next(); {
+		case all || now.Sub(e.changedAt) <= shareEvidence:
 			list = append(list, e.Suspicion)
+		case e.quarantined() && !e.obsolete(now):
+			older = append(older, e.Suspicion)
 		}
 	}
+	slices.SortFunc(older, func(a, b Suspicion) int { return b.CrashedAt.Compare(a.CrashedAt) })
+	list = append(list, older[:min(len(older), maxRepeated)]...)
 	slices.SortFunc(list, func(a, b Suspicion) int { return cmp.Compare(a.Part, b.Part) })
 	return list
 }
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -126,6 +126,23 @@
 	}
 }
 
+// TestRestartedPeer checks that each report tells of quarantined parts, however old, so
+// that a gateway that restarted learns of them with the first one, and not of all that
+// callers made suspect.
+func TestRestartedPeer(t *testing.T) {
+	l := quarantine.New("g").WithCrash([]string{"dead"}, quarantine.Begun, start).WithCrash([]string{"waiting"}, quarantine.Waiting, start)
+	list := l.Suspicions(false, start.Add(20*time.Second))
+	if len(list) != 1 || list[0].Part != "dead" {
+		t.Errorf("suspicions told after 20 s are %+v, want the quarantined part", list)
+	}
+	for n := range 200 {
+		l = l.WithCrash([]string{string(rune(n + 1000))}, quarantine.Begun, start)
+	}
+	if got := len(l.Suspicions(false, start.Add(20*time.Second))); got != 16 {
+		t.Errorf("%d suspicions are told after 20 s, want 16", got)
+	}
+}
+
 // TestBoundedMemory checks that parts that callers invent do not fill the memory.
 func TestBoundedMemory(t *testing.T) {
 	l, now := quarantine.New("g"), start
--- a/gateway/serve/crash_test.go
+++ b/gateway/serve/crash_test.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"testing"
 	"testing/synctest"
+	"time"
 
+	"hornbeamtray/core/dispatch"
+	"hornbeamtray/core/quarantine"
 	"hornbeamtray/core/refusal"
 	"hornbeamtray/gateway/serve"
 )
@@ -68,3 +71,56 @@
 		})
 	}
 }
+
+// TestAttemptsBesideCrash guards against requests that wait at other targets when a part
+// of their prompt is found to crash targets, and crash these as well. A trial goes on.
+func TestAttemptsBesideCrash(t *testing.T) {
+	tests := []struct {
+		name  string
+		parts []string
+		ends  bool
+	}{
+		{"same part", []string{"first", "dead"}, true},
+		{"same first part", []string{"first", "other"}, false},
+		{"no shared parts", nil, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				waiting := answer("id: 1\n\n", "id: 2\n\n")
+				waiting.headDelay = time.Second
+				fake := &scriptedTargets{script: []step{answer("id: 1\n\n", "id: 2\n\n"), waiting, waiting}}
+				service := serve.New(newState(), fake, discard{}, discard{})
+				defer service.Close()
+				request := serve.Request{ID: "r", Host: "h", Path: "/stream/", Key: "k", Parts: []string{"first"}}
+				service.Serve(t.Context(), request, &caller{})
+				suspect := func(part string) {
+					service.Change(func(s dispatch.State, now time.Time) dispatch.State {
+						return s.WithCrash("t", []string{part}, quarantine.Begun, now)
+					})
+				}
+				time.AfterFunc(100*time.Millisecond, func() { suspect("dead") })
+				time.AfterFunc(200*time.Millisecond, func() { suspect("unrelated") })
+				request.Parts = tt.parts
+				start := time.Now()
+				outcome := service.Serve(t.Context(), request, &caller{})
+				if ended := outcome.Refusal != nil; ended != tt.ends {
+					t.Fatalf("refusal = %v, want one: %t", outcome.Refusal, tt.ends)
+				}
+				if took := time.Since(start); tt.ends && (took > 150*time.Millisecond || outcome.Refusal.Ran == refusal.No) {
+					t.Errorf("refusal = %v after %s, want one at once that does not say that the request did not run", outcome.Refusal, took)
+				}
+				if !tt.ends {
+					return
+				}
+				time.Sleep(45 * time.Second) // until a trial is due
+				service.Change(func(s dispatch.State, now time.Time) dispatch.State { return s.WithSync(now) })
+				synctest.Wait()
+				time.AfterFunc(100*time.Millisecond, func() { suspect("unrelated") })
+				if outcome := service.Serve(t.Context(), request, &caller{}); outcome.Refusal != nil {
+					t.Errorf("refusal of the trial = %v, want none", outcome.Refusal)
+				}
+			})
+		})
+	}
+}
--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -205,6 +205,9 @@
 	if timeout := d.attemptTimeout(left); timeout > 0 {
 		wd.start(timeout)
 	}
+	if !d.service.State().Proven(d.request.Parts) {
+		defer d.service.unproven.add(d.request.Parts, cancel)()
+	}
 	reply, err := d.service.targets.Send(ctx, Call{
 		Message: d.request.Message, ID: d.request.ID, Address: d.target.Address, Instance: d.target.ID,
 		Host: d.request.Host, Account: d.admission.Account, SendPriority: d.admission.Route.Kind == route.Stream, Priority: d.admission.Priority,
--- a/gateway/serve/service.go
+++ b/gateway/serve/service.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -36,6 +37,7 @@
 	capacityFreed control.Signal     // raised when a target may have capacity again
 	abortContext  context.Context    // done when requests in flight must be aborted
 	abort         context.CancelFunc // cancels abortContext
+	unproven      unprovenAttempts
 }
 
 // Random draws uniformly distributed random numbers.
@@ -92,12 +94,16 @@
 func (s *Service) BodyLimit() int { return s.State().Book.Limits.Body }
 
 // Observe implements control.Observer. It logs the changes of the audit trail,
-// updates metrics, and raises idle if no request is in flight.
+// updates metrics, ends attempts of requests of which a part is now quarantined, and raises idle
+// if no request is in flight.
 func (s *Service) Observe(before, after dispatch.State) {
 	s.journal.Changes(before.Trail, after.Trail)
 	if before.Book.Version != after.Book.Version {
 		s.meter.Gauge("version", float64(after.Book.Version))
 	}
+	if before.QuarantineRevision() != after.QuarantineRevision() {
+		s.unproven.cancel(newlyQuarantined(before, after))
+	}
 	if after.InFlight == 0 {
 		s.idle.Raise()
 	}
@@ -106,6 +112,12 @@
 	}
 }
 
+// newlyQuarantined returns the parts that are quarantined only in the state after.
+func newlyQuarantined(before, after dispatch.State) []string {
+	known := before.Quarantined()
+	return slices.DeleteFunc(after.Quarantined(), func(part string) bool { return slices.Contains(known, part) })
+}
+
 // Change applies change to the state on the control goroutine, and may return
 // before that. After Close it does nothing.
 func (s *Service) Change(change func(dispatch.State, time.Time) dispatch.State) {
