Never write an error into a stream that has begun

A stream broke off, the gateway resumed it at another target, and that answered with an error: the caller found the error's text in the middle of its stream, which then ended as if complete.

Cause: only a 2xx answer on a stream route was delivered as a stream; any other one was delivered as a whole answer, whether or not the head had been sent.

Change: once the head was sent, such an answer is a failed attempt; the caller's stream goes on at another target or is cut.

--- a/gateway/serve/deliver.go
+++ b/gateway/serve/deliver.go
@@ -38,10 +38,7 @@
 	switch {
 	case err == io.EOF && head.Status >= 500:
 		d.failure = &failure{head: withLength(head, len(buffered)), body: buffered}
-		d.logFailure("target failed", nil, "status", head.Status)
-		attempt := d.newAttempt(retry.Stopped)
-		attempt.Refusal = refusal.New(refusal.Failed, refusal.Yes, "the target failed while it ran the request")
-		return attempt, false
+		return d.failedAttempt(head), false
 	case err == io.EOF:
 		d.failure = nil
 		d.service.recordProof(d.request.Parts)
@@ -57,6 +54,14 @@
 	return d.deliverUnbuffered(reply, buffered)
 }
 
+// failedAttempt returns the current attempt, at which the target answered with an error.
+func (d *delivery) failedAttempt(head Head) retry.Attempt {
+	d.logFailure("target failed", nil, "status", head.Status)
+	attempt := d.newAttempt(retry.Stopped)
+	attempt.Refusal = refusal.New(refusal.Failed, refusal.Yes, "the target failed while it ran the request")
+	return attempt
+}
+
 // deliverUnbuffered delivers an answer that is too large to be buffered. It writes the
 // buffered bytes, then the rest as it arrives.
 func (d *delivery) deliverUnbuffered(reply Reply, buffered []byte) (retry.Attempt, bool) {
--- a/gateway/serve/failure_test.go
+++ b/gateway/serve/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -163,3 +164,42 @@
 		})
 	}
 }
+
+// TestErrorAfterStreamBegan guards against the text of a target's error in the middle of a
+// stream that another target began, and against a stream that then ends as if complete.
+func TestErrorAfterStreamBegan(t *testing.T) {
+	began := step{head: serve.Head{Status: 200, Signed: true, Length: -1}, parts: []string{"id: 1\n\n"}, breaksOff: true}
+	failed := func(code int, length int) step {
+		return step{head: serve.Head{Status: code, Signed: true, Length: int64(length)}, parts: []string{strings.Repeat("error ", length/6)}}
+	}
+	large := failed(404, 96<<10)
+	large.parts = slices.Repeat([]string{strings.Repeat("x", 8<<10)}, 12)
+	tests := []struct {
+		name   string
+		second step
+	}{
+		{"not found", failed(404, 12)},
+		{"redirect", failed(302, 12)},
+		{"server error", failed(500, 12)},
+		{"a large error", large},
+		{"without a body", status(410)},
+		{"refused without running", notRun(false)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fake := &scriptedTargets{script: []step{began, tt.second}}
+				service := serve.New(newState(), fake, discard{}, discard{})
+				defer service.Close()
+				var c caller
+				outcome := service.Serve(t.Context(), serve.Request{ID: "r", Host: "h", Path: "/stream/", Key: "k"}, &c)
+				if len(c.heads) != 1 || c.body.String() != "id: 1\n\n" {
+					t.Errorf("the caller received %d heads and %d bytes, %.60q; want one head and the first event", len(c.heads), c.body.Len(), c.body.String())
+				}
+				if outcome.Refusal == nil || !outcome.HeadSent || outcome.Refusal.Ran == refusal.No {
+					t.Errorf("outcome is %+v, want an incomplete answer", outcome)
+				}
+			})
+		})
+	}
+}
--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -245,6 +245,8 @@
 	case head.Status < 300 && d.admission.Route.Kind == route.Stream:
 		d.service.recordGroupWorking(d.target)
 		return d.deliverStream(reply, wd)
+	case d.headSent: // the caller has the beginning of a stream, which only a stream can continue
+		return d.failedAttempt(head), false
 	default:
 		return d.deliverBuffered(reply)
 	}
