Never splice an error into an answer that has begun

Cause: the head of a resumed answer was ignored, and its length and digest cover only the bytes that follow the offset.

Change: a head with another status than the one sent ends the attempt.

--- a/entry/serve/request.go
+++ b/entry/serve/request.go
@@ -108,6 +108,7 @@
 	attempts       int // number of attempts so far, with any ticket
 	ticketSends    int // number of attempts with the current ticket
 	headSent       bool
+	status         int            // of the head that was sent
 	deliveredBytes uint64         // bytes of the answer written to out, over all attempts
 	digest         *xxhash.Digest // covers the bytes written to out in this attempt
 	lastReport     *entry.Report  // the agent's latest report in this attempt; nil if there was none
@@ -267,11 +268,13 @@
 		whole := splice.Whole(d.deliveredBytes, part.End.Length, d.digest.Sum64(), part.End.Digest)
 		return d.attemptWithEnd(retry.Broken), true, whole
 	case part.Head != nil && !d.headSent:
-		d.headSent = true
+		d.headSent, d.status = true, part.Head.Status
 		d.service.meter.Observe("first", time.Since(d.started))
 		if err := d.out.WriteHead(d.ticket, *part.Head); err != nil {
 			return d.attemptWithEnd(retry.Abandoned), true, false
 		}
+	case part.Head != nil && part.Head.Status != d.status: // an error can't continue the answer
+		return d.attemptWithEnd(retry.Broken), true, false
 	case len(part.Data) > 0:
 		if end, ok := d.writeData(part); !ok {
 			return d.attemptWithEnd(end), true, false
