Play departures, pauses and deadly parts in the soak

The soak's servers say in their answers that they leave, truly and falsely, ask for pauses, and crash on a part of a prompt; an odd item of the store takes a server's address. The checks are what callers and servers see: DRAIN and BUDGET by gateway, excused by a restart, a pause or a fault of a link since. Before a connection counts as open after a crash, the pool now waits 20 ms: a proxy accepts before it finds that nothing listens.

--- a/adapter/pool/pool.go
+++ b/adapter/pool/pool.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,6 +25,7 @@
 )
 
 const (
+	closeWait        = 20 * time.Millisecond  // by then a proxy has found that no process listens behind it
 	dialTimeout      = 700 * time.Millisecond // shorter than the 1 s after which a lost SYN is sent again: trying another target is faster
 	idleTimeout      = 4 * time.Second        // for targets that send no timeout in Keep-Alive
 	idleMargin       = time.Second            // an idle connection expires this long before the timeout that its target sent
@@ -104,13 +106,22 @@
 }
 
 // Refused reports whether a new connection to the address is refused, since no process
-// listens there. A connection that is accepted is kept for a request.
+// listens there, or closed at once, as by a proxy before such a process. A connection
+// that stays open is kept for a request.
 func (p *Pool) Refused(ctx context.Context, address string) bool {
 	c, err := p.dial(ctx, address)
-	if err == nil {
-		c.Release(nil)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = c.raw.SetReadDeadline(time.Now().Add(closeWait))
+	_, err = c.reader.Peek(1)
+	_ = c.raw.SetReadDeadline(time.Time{})
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		_ = c.raw.Close()
+		return err != nil
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	c.Release(nil)
+	return false
 }
 
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
--- a/scenario/soak/caller_test.go
+++ b/scenario/soak/caller_test.go
@@ -56,6 +56,11 @@
 	for name, value := range map[string]string{"Request-Id": id, "Deadline-Ms": fmt.Sprint(deadline.Milliseconds()), "Authorization": "Token " + key} {
 		request.Header.Set(name, value)
 	}
+	parts := "first:40,"
+	if c.world.deadly.active() && path == "/flow/x" && c.rng.IntN(5) == 0 {
+		parts += deadlyPart + ":300,"
+	}
+	request.Header.Set("Prompt-Prefix", parts+id+":7")
 	c.world.ledger.recordSent(id, tenant, path == "/once/x")
 	sent := time.Now()
 	response, err := c.http.Do(request)
--- a/scenario/soak/ledger_test.go
+++ b/scenario/soak/ledger_test.go
@@ -46,6 +46,16 @@
 	l.sent++
 }
 
+// sentAt returns when a request was sent, or the zero time if no caller sent it.
+func (l *ledger) sentAt(id string) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r, known := l.requests[id]; known {
+		return r.sent
+	}
+	return time.Time{}
+}
+
 // addViolation records a violation with the time since the start of the run.
 func (l *ledger) addViolation(format string, values ...any) {
 	l.mu.Lock()
--- a/scenario/soak/relay_test.go
+++ b/scenario/soak/relay_test.go
@@ -116,6 +116,13 @@
 	return r.delay == 0 && !r.blockRequests && !r.blockResponses && r.lastFault.Add(settleTime).Before(moment)
 }
 
+// faultFree reports whether no fault began or ended after moment, and none lasts.
+func (r *relay) faultFree(moment time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.delay == 0 && !r.blockRequests && !r.blockResponses && r.lastFault.Before(moment)
+}
+
 // reset resets all open connections.
 func (r *relay) reset() {
 	r.mu.Lock()
--- a/scenario/soak/soak_test.go
+++ b/scenario/soak/soak_test.go
@@ -100,6 +100,7 @@
 		time.Sleep(time.Duration(rng.IntN(900)) * time.Millisecond)
 	}
 	injecting.Wait()
+	w.crashing.Wait()
 	time.Sleep(recoveryTime - judgedTime)
 	served, sent := w.ledger.totals()
 	time.Sleep(judgedTime)
@@ -210,6 +211,14 @@
 	}},
 	{"crash a server", func(w *world, d faultParams) { w.replace(d, false) }},
 	{"drain a server", func(w *world, d faultParams) { w.replace(d, true) }},
+	{"server asks for pauses", func(w *world, d faultParams) { w.servers[d.server].say(pauses, d.duration) }},
+	{"server lies about leaving", func(w *world, d faultParams) { w.servers[d.server].say(liesAboutLeaving, d.duration) }},
+	{"server leaves without a word to the store", func(w *world, d faultParams) { w.leave(d) }},
+	{"requests that crash servers", func(w *world, d faultParams) {
+		w.deadly.set(true)
+		time.Sleep(d.duration)
+		w.deadly.set(false)
+	}},
 	{"server slow", func(w *world, d faultParams) { w.servers[d.server].degrade(true, false, d.duration) }},
 	{"server flaky", func(w *world, d faultParams) { w.servers[d.server].degrade(false, true, d.duration) }},
 	{"new configuration", func(w *world, _ faultParams) { w.configure() }},
@@ -227,6 +236,9 @@
 	}},
 	{"expert load shifts", func(w *world, d faultParams) { w.group.shiftLoad(d.server) }},
 	{"unreadable store item", func(w *world, _ faultParams) { w.store.put("servers/odd", "nothing") }},
+	{"odd store item", func(w *world, d faultParams) {
+		w.store.put("servers/odd", map[string]any{"service": w.servers[d.server].service, "address": w.servers[d.server].address, "zone": "z", "slots": 1 << 60, "state": "ready", "born": 1 << 62})
+	}},
 }
 
 func pause(p *process, duration time.Duration) {
@@ -278,6 +290,21 @@
 	}
 }
 
+// leave has a server say in its answers that it leaves, without registering as draining,
+// and ends it some time after drainTime.
+func (w *world) leave(d faultParams) {
+	w.servers[d.server].said.set(leaves)
+	time.Sleep(drainTime + d.duration)
+	w.replace(d, false)
+}
+
+// say has a server say something of itself in its answers for duration.
+func (s *server) say(mode behavior, duration time.Duration) {
+	s.said.set(mode)
+	time.Sleep(duration)
+	s.said.set(quiet)
+}
+
 // degrade makes a server slow or flaky for duration.
 func (s *server) degrade(slow, flaky bool, duration time.Duration) {
 	s.mu.Lock()
--- a/scenario/soak/target_test.go
+++ b/scenario/soak/target_test.go
@@ -25,6 +25,8 @@
 	address string // address of its relay, as registered in the store
 	listen  string // address that it listens on
 	rank    int    // -1 outside the group
+	index   int    // in world.servers
+	said    statements
 
 	replacing sync.Mutex // held while the incarnation is replaced
 
@@ -48,6 +50,7 @@
 	s.mu.Lock()
 	s.id, s.serving, s.drainingSince, s.running = id, serving, time.Time{}, 0
 	s.mu.Unlock()
+	s.said.reset()
 	go func() { _ = serving.Serve(listener) }()
 	s.register("ready")
 	return nil
@@ -65,8 +68,10 @@
 	return s.id
 }
 
-// drain registers the server as draining. It goes on serving until stop.
+// drain registers the server as draining and says so in its answers. It goes on serving
+// until stop.
 func (s *server) drain() {
+	s.said.set(leaves)
 	s.register("draining")
 	s.mu.Lock()
 	s.drainingSince = time.Now()
@@ -120,7 +125,13 @@
 		s.running++
 	}
 	s.mu.Unlock()
-	if !expected || full {
+	refuses := expected && s.said.check(s.world, id, clientIP, w.Header())
+	if refuses && !full {
+		s.mu.Lock()
+		s.running--
+		s.mu.Unlock()
+	}
+	if !expected || full || refuses {
 		w.Header().Set("Not-Run", "1")
 		w.WriteHeader(map[bool]int{true: http.StatusServiceUnavailable, false: http.StatusMisdirectedRequest}[expected])
 		return
@@ -140,7 +151,7 @@
 	}
 	w.Header().Set("Server-Stamp", s.address+"."+id)
 	if strings.HasPrefix(r.URL.Path, "/flow/") {
-		s.stream(w, r, id)
+		s.stream(w, r, id, clientIP)
 		return
 	}
 	time.Sleep(5 * time.Millisecond)
@@ -150,11 +161,18 @@
 // answerTo returns the body of the answer to a request.
 func answerTo(id, tenant string) string { return strings.Repeat(id+" for "+tenant+"\n", 20) }
 
-// stream sends the events that follow the Last-Event-Id of the request.
-func (s *server) stream(w http.ResponseWriter, r *http.Request, id string) {
+// stream sends the events that follow the Last-Event-Id of the request. It crashes the
+// server after the head if the prompt has deadlyPart.
+func (s *server) stream(w http.ResponseWriter, r *http.Request, id, gatewayIP string) {
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
+	if strings.Contains(r.Header.Get("Prompt-Prefix"), deadlyPart+":") {
+		_ = control.Flush()
+		s.world.deadly.recordCrash(s, gatewayIP)
+		_ = wait(r.Context(), deadlyDowntime) // until the connection is closed
+		return
+	}
 	for n := after + 1; n <= eventsPerStream; n++ {
 		if wait(r.Context(), eventGap) != nil {
 			return
--- a/scenario/soak/world_test.go
+++ b/scenario/soak/world_test.go
@@ -139,6 +139,13 @@
 	return p.command != nil && !p.paused && p.lastFault.Add(settleTime).Before(moment)
 }
 
+// faultFree reports whether the process has run without a fault since moment.
+func (p *process) faultFree(moment time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.command != nil && !p.paused && p.lastFault.Before(moment)
+}
+
 // gateway is the process of a gateway, its addresses and its link to the store.
 type gateway struct {
 	process
@@ -158,7 +165,9 @@
 	gateways []*gateway
 	stewards []*process
 	servers  []*server
-	links    []*relay // to the servers, in the order of servers
+	deadly   deadly
+	crashing sync.WaitGroup // replacements of servers that requests crashed
+	links    []*relay       // to the servers, in the order of servers
 
 	mu           sync.Mutex
 	version      int  // of the configuration; guarded by mu
@@ -208,7 +217,7 @@
 }
 
 func (w *world) addServer(i int) {
-	s := &server{world: w, service: "model", zone: fmt.Sprint("z", i%2), address: w.ip(3, 10+i) + ":7100", listen: w.ip(4, 10+i) + ":7100", rank: i}
+	s := &server{world: w, service: "model", zone: fmt.Sprint("z", i%2), address: w.ip(3, 10+i) + ":7100", listen: w.ip(4, 10+i) + ":7100", rank: i, index: i}
 	if i >= ranks {
 		s.service, s.rank = "plain", -1
 	}
