--- a/gateway/serve/deliver.go
+++ b/gateway/serve/deliver.go
@@ -48,8 +48,7 @@
 		}
 		return retry.Attempt{}, true
 	case err != nil:
-		d.logFailure("broken", err)
-		return d.newAttempt(retry.Broken), false
+		return d.brokenAttempt("broken", err), false
 	}
 	return d.deliverUnbuffered(reply, buffered)
 }
@@ -80,8 +79,7 @@
 			return retry.Attempt{}, true
 		}
 		if err != nil {
-			d.logFailure("broken", err)
-			return d.newAttempt(retry.Broken), false
+			return d.brokenAttempt("broken", err), false
 		}
 	}
 }
@@ -120,8 +118,7 @@
 			err = errOversizedEvent
 		}
 		if err != nil {
-			d.logFailure("stream broken", err, "after", d.lastEventID)
-			return d.newAttempt(retry.Broken), false
+			return d.brokenAttempt("stream broken", err, "after", d.lastEventID), false
 		}
 	}
 }
--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -230,8 +230,7 @@
 	}
 	d.possibleRuns++
 	if err != nil {
-		d.logFailure("broken", err)
-		return d.newAttempt(retry.Broken), false
+		return d.brokenAttempt("broken", err), false
 	}
 	defer reply.Close()
 	d.service.recordResponse(d.target.ID)
@@ -277,6 +276,14 @@
 	return left / attemptTimeoutDivisor
 }
 
+// brokenAttempt logs and returns the current attempt, whose answer is not whole. how is
+// its kind in the metrics.
+func (d *delivery) brokenAttempt(how string, err error, pairs ...any) retry.Attempt {
+	d.closed = errors.Is(err, ErrClosed)
+	d.logFailure(how, err, pairs...)
+	return d.newAttempt(retry.Broken)
+}
+
 // newAttempt describes the current attempt, which ended with end.
 func (d *delivery) newAttempt(end retry.End) retry.Attempt {
 	return retry.Attempt{
@@ -290,8 +297,7 @@
 	d.service.meter.Inc("attempts", how)
 	pairs = append([]any{"request", d.request.ID, "target", d.target.ID, "how", how, "revision", d.target.Revision}, pairs...)
 	if err != nil && !errors.Is(err, ErrNotSent) {
-		d.closed = errors.Is(err, ErrClosed)
-		pairs = append(pairs, "closed", d.closed, "head", d.headReceived, "events", d.events, "parts", strings.Join(d.request.Parts, ","))
+		pairs = append(pairs, "closed", errors.Is(err, ErrClosed), "head", d.headReceived, "events", d.events, "parts", strings.Join(d.request.Parts, ","))
 	}
 	if err != nil {
 		pairs = append(pairs, "error", err.Error())
