Try a suspected part soon while another part may be to blame

When nothing is proven yet, the first part of a prompt, which sound requests hold too, was quarantined for 30 s together with the deadly one.

Change: a suspicion names the other suspected parts of the same requests. While one of them is not proven, the first quarantine lasts 6 s and a request with one of the parts is the trial; a proof leaves the blame, and the 30 s, with the others.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -23,6 +23,7 @@
 	shareEvidence = 5 * time.Second  // how long a change is reported to peers
 	maxProven     = 8192             // parts in each of two generations
 	maxSuspicions = 256
+	maxOthers     = 8  // parts beside a suspected one that are remembered
 	maxRepeated   = 16 // quarantined parts of which each report to peers tells, however old: a peer may have restarted
 )
 
@@ -96,15 +97,14 @@
 	if progress >= UnderWay {
 		return l
 	}
-	for _, part := range parts {
-		if l.isProven(part) {
-			continue
-		}
+	suspected := slices.DeleteFunc(slices.Clone(parts), l.isProven)
+	for _, part := range suspected {
 		known, found := l.entries.Get(part)
 		if !found || known.obsolete(now) {
 			known = entry{Suspicion: Suspicion{Part: part}}
 		}
-		l = l.withSuspicion(known.withCrash(progress == Begun, now), now)
+		others := slices.DeleteFunc(slices.Clone(suspected), func(other string) bool { return other == part })
+		l = l.withSuspicion(known.withCrash(others[:min(len(others), maxOthers)], progress == Begun, now), now)
 	}
 	return l
 }
@@ -208,7 +208,8 @@
 
 // end returns when the next trial of a quarantined part is due.
 func (l List) end(s Suspicion) time.Time {
-	end := s.CrashedAt.Add(s.period() + time.Duration(l.spread*float64(s.period())))
+	period := s.period(slices.ContainsFunc(s.Others, func(other string) bool { return !l.isProven(other) }))
+	end := s.CrashedAt.Add(period + time.Duration(l.spread*float64(period)))
 	if next := s.TriedAt.Add(trialTimeout); next.After(end) {
 		return next
 	}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -91,6 +91,40 @@
 	}
 }
 
+// TestSharedBlame guards against sound requests that are kept from targets for long since
+// their first part stood beside the deadly one when nothing was proven yet: a request with
+// one of the two is tried soon, and a proof of one leaves the blame with the other.
+func TestSharedBlame(t *testing.T) {
+	both := []string{"first", "dead"}
+	suspected := quarantine.New("g").WithCrash(both, quarantine.Begun, start)
+	peer := quarantine.New("h").WithSuspicions(suspected.Suspicions(true, start), start)
+	proven := suspected.WithSend(both[:1], start.Add(8*time.Second)).WithProof(both[:1], start.Add(9*time.Second))
+	tests := []struct {
+		name    string
+		list    quarantine.List
+		parts   []string
+		after   time.Duration
+		blocked bool
+	}{
+		{"the first part alone, at once", suspected, both[:1], time.Second, true},
+		{"the first part alone, soon", suspected, both[:1], 8 * time.Second, false},
+		{"the first part alone, soon, at a peer", peer, both[:1], 8 * time.Second, false},
+		{"both parts, soon", suspected, both, 8 * time.Second, true},
+		{"both parts, later", suspected, both, 20 * time.Second, false},
+		{"the first part, once proven", proven, both[:1], 9 * time.Second, false},
+		{"both parts, the first one proven", proven, both, 25 * time.Second, true},
+		{"both parts, the first one proven, at a peer", peer.WithSuspicions(proven.Suspicions(true, start.Add(9*time.Second)), start.Add(9*time.Second)), both, 25 * time.Second, true},
+		{"a second crash with one part", suspected.WithCrash(both[1:], quarantine.Begun, start.Add(8*time.Second)), both[1:], 60 * time.Second, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if until, blocked := tt.list.Blocked(tt.parts, start.Add(tt.after)); blocked != tt.blocked {
+				t.Errorf("blocked: %t until %s, want %t", blocked, until.Sub(start), tt.blocked)
+			}
+		})
+	}
+}
+
 // TestRepeatedReports checks that gateways that repeat to each other what they know, each
 // time a little later, don't prolong a quarantine, and that a proof reaches all of them.
 func TestRepeatedReports(t *testing.T) {
--- a/core/quarantine/suspicion.go
+++ b/core/quarantine/suspicion.go
@@ -2,11 +2,13 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
 const (
-	firstPeriod  = 30 * time.Second // of quarantine; a trial that fails costs all callers of a group several seconds
+	sharedPeriod = 6 * time.Second  // of quarantine while another part may be to blame; a group that lost a rank works again by then
+	firstPeriod  = 30 * time.Second // of quarantine otherwise; a trial that fails costs all callers of a group several seconds
 	maxPeriod    = time.Hour
 	periodFactor = 4 // between the quarantine after a crash and that after the next
 
@@ -30,6 +32,7 @@
 // Suspicion is what is known of a part of a prompt.
 type Suspicion struct {
 	Part      string
+	Others    []string  // Others are the other suspected parts of the requests that hold the part; never written after construction.
 	Crashes   int       // Crashes counts the crashes with a request that holds the part.
 	Begun     bool      // Begun is set if the answer to such a request had begun.
 	Proven    bool      // Proven is set once an answer to a request with the part got under way.
@@ -41,17 +44,25 @@
 // targets: one crash as an answer began, or two crashes.
 func (s Suspicion) quarantined() bool { return !s.Proven && (s.Begun || s.Crashes > 1) }
 
-// period returns how long the quarantine lasts after the latest crash.
-func (s Suspicion) period() time.Duration {
+// period returns how long the quarantine lasts after the latest crash. shared reports
+// whether the blame is shared with another part.
+func (s Suspicion) period(shared bool) time.Duration {
+	if shared && s.Crashes == 1 {
+		return sharedPeriod
+	}
 	factor := math.Pow(periodFactor, float64(max(0, s.Crashes-1)))
 	return time.Duration(min(float64(maxPeriod), factor*float64(firstPeriod)))
 }
 
 // obsolete reports whether the suspicion is too old to count.
-func (s Suspicion) obsolete(now time.Time) bool { return now.Sub(s.CrashedAt) > 2*s.period() }
+func (s Suspicion) obsolete(now time.Time) bool { return now.Sub(s.CrashedAt) > 2*s.period(false) }
 
-// withCrash returns the suspicion after a crash.
-func (s Suspicion) withCrash(begun bool, now time.Time) Suspicion {
+// withCrash returns the suspicion after a crash with a request that holds others, too.
+func (s Suspicion) withCrash(others []string, begun bool, now time.Time) Suspicion {
+	if s.Crashes == 0 {
+		s.Others = others
+	}
+	s.Others = common(s.Others, others)
 	if s.Crashes == 0 || now.Sub(s.CrashedAt) > sameEvent {
 		s.Crashes++
 	}
@@ -63,6 +74,11 @@
 // the report held anything new.
 func (s Suspicion) merged(report Suspicion) (Suspicion, bool) {
 	changed := false
+	if s.Crashes == 0 {
+		s.Others = report.Others
+	} else if others := common(s.Others, report.Others); len(others) < len(s.Others) {
+		s.Others, changed = others, true
+	}
 	if report.Crashes > s.Crashes {
 		s.Crashes, changed = report.Crashes, true
 	}
@@ -77,3 +93,14 @@
 	}
 	return s, changed
 }
+
+// common returns the parts that are in both lists.
+func common(a, b []string) []string {
+	var list []string
+	for _, part := range a {
+		if slices.Contains(b, part) {
+			list = append(list, part)
+		}
+	}
+	return list
+}
