Take an answer that ends with its connection for whole only if its target runs

A target may answer with neither a length nor chunks, a stream too; the end of the connection then ends the answer. If the target crashed between two events, or in a body, the caller got the part as a whole answer.

Cause: io.EOF of such an answer was taken for its end. A crash ends connections the same way, without a reset.

Change: Head says whether an answer is unframed; its end counts if the target still accepts a connection, which serves the next request, or said that it leaves. Otherwise the attempt is broken: a stream goes on at another target, a request that runs once is refused as unknown. The fake reply of the tests keeps what does not fit a read.

--- a/gateway/serve/port.go
+++ b/gateway/serve/port.go
@@ -42,6 +42,7 @@
 	Signed    bool  // Signed reports whether the target signed the answer.
 	NotRun    bool  // NotRun reports whether the target guarantees that it did not run the request.
 	Replaced  bool  // Replaced reports whether another process than the expected target answered.
+	Unframed  bool  // Unframed reports whether only the end of the connection ends the answer.
 	Leaving   bool  // Leaving reports whether the target says that it accepts no new work.
 	GroupLost bool  // GroupLost reports whether the target's group of ranks can't work, so that no target of the group would run the request.
 
--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"strings"
 	"time"
 
@@ -237,6 +238,9 @@
 	d.headReceived = true
 	head := reply.Head()
 	d.service.recordStatements(d.target, head)
+	if head.Unframed && !head.Leaving { // a target that leaves may end right after its last answer
+		reply = unframedReply{Reply: reply, gone: func() bool { return d.service.isGone(d.target) }}
+	}
 	switch {
 	case head.NotRun:
 		d.possibleRuns--
@@ -279,7 +283,7 @@
 // brokenAttempt logs and returns the current attempt, whose answer is not whole. how is
 // its kind in the metrics.
 func (d *delivery) brokenAttempt(how string, err error, pairs ...any) retry.Attempt {
-	d.closed = errors.Is(err, ErrClosed)
+	d.closed = errors.Is(err, ErrClosed) || errors.Is(err, io.EOF)
 	d.logFailure(how, err, pairs...)
 	return d.newAttempt(retry.Broken)
 }
--- a/gateway/serve/serve_test.go
+++ b/gateway/serve/serve_test.go
@@ -63,6 +63,7 @@
 	if next.err != nil {
 		return nil, next.err
 	}
+	next.parts = slices.Clone(next.parts) // Read changes them
 	return &reply{ctx: ctx, step: next}, nil
 }
 
@@ -102,7 +103,9 @@
 		return 0, r.ctx.Err()
 	}
 	n := copy(p, r.step.parts[0])
-	r.step.parts = r.step.parts[1:]
+	if r.step.parts[0] = r.step.parts[0][n:]; r.step.parts[0] == "" {
+		r.step.parts = r.step.parts[1:]
+	}
 	return n, nil
 }
 
--- a/gateway/serve/service.go
+++ b/gateway/serve/service.go
@@ -252,9 +252,7 @@
 	if len(parts) == 0 || progress >= quarantine.UnderWay || s.State().Proven(parts) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(s.abortContext, goneTimeout)
-	defer cancel()
-	if !s.targets.Gone(ctx, target.Address) {
+	if !s.isGone(target) {
 		return
 	}
 	s.meter.Inc("crashes", "suspected")
@@ -264,6 +262,13 @@
 	})
 }
 
+// isGone reports whether no process runs at a target's address.
+func (s *Service) isGone(target roster.Target) bool {
+	ctx, cancel := context.WithTimeout(s.abortContext, goneTimeout)
+	defer cancel()
+	return s.targets.Gone(ctx, target.Address)
+}
+
 // recordReplaced records that another process answered at a target's address.
 func (s *Service) recordReplaced(target string) {
 	s.Change(func(state dispatch.State, now time.Time) dispatch.State { return state.WithReplaced(target, now) })
