Let agents take an unframed answer for whole only if their target runs

Change: after such an answer the agent connects to its target; a refused connection means that it crashed, and the run ends without a whole answer.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -87,7 +88,24 @@
 	}
 	defer response.Body.Close()
 	sink.Begin(answer.Head{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type")})
-	return copyAnswer(ctx, response.Body, sink)
+	if err := copyAnswer(ctx, response.Body, sink); err != nil {
+		return err
+	}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && c.isGone(ctx, request.URL.Host) {
+		return trace.ConnectionProblem(nil, "the answer ended with its connection, and the target no longer runs")
+	}
+	return nil
+}
+
+// isGone reports whether a new connection to the target is refused. A target that crashes
+// ends its connections, and with them an answer that has no end of its own.
+func (c *Client) isGone(ctx context.Context, address string) bool {
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
 }
 
 func copyAnswer(ctx context.Context, body io.Reader, sink serve.Sink) error {
