--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -235,6 +235,11 @@
 	}
 	defer reply.Close()
 	d.service.recordResponse(d.target.ID)
+	return d.receive(reply, wd)
+}
+
+// receive handles the answer of the current attempt, of which the head has arrived.
+func (d *delivery) receive(reply Reply, wd *watchdog) (retry.Attempt, bool) {
 	d.headReceived = true
 	head := reply.Head()
 	d.service.recordStatements(d.target, head)
@@ -243,17 +248,7 @@
 	}
 	switch {
 	case head.NotRun:
-		d.possibleRuns--
-		d.logFailure("not run", nil, "status", head.Status, "group", head.GroupLost, "leaving", head.Leaving, "pause", head.Pause, "invalid", head.InvalidPause)
-		if head.GroupLost {
-			d.service.recordGroupLost(d.target)
-		}
-		if head.Replaced {
-			d.service.recordReplaced(d.target.ID)
-		}
-		attempt := d.newAttempt(retry.Refused)
-		attempt.Refusal = refusal.New(refusal.Busy, refusal.No, "the target did not run the request; try again").WithRetry(d.admission.RetryAfter(d.service.clock()))
-		return attempt, false
+		return d.refusedAttempt(head), false
 	case !head.Signed: // the answer may not come from the target
 		d.logFailure("unsigned answer", nil, "status", head.Status)
 		return d.newAttempt(retry.Broken), false
@@ -267,6 +262,21 @@
 	}
 }
 
+// refusedAttempt returns the current attempt, whose target did not run the request.
+func (d *delivery) refusedAttempt(head Head) retry.Attempt {
+	d.possibleRuns--
+	d.logFailure("not run", nil, "status", head.Status, "group", head.GroupLost, "leaving", head.Leaving, "pause", head.Pause, "invalid", head.InvalidPause)
+	if head.GroupLost {
+		d.service.recordGroupLost(d.target)
+	}
+	if head.Replaced {
+		d.service.recordReplaced(d.target.ID)
+	}
+	attempt := d.newAttempt(retry.Refused)
+	attempt.Refusal = refusal.New(refusal.Busy, refusal.No, "the target did not run the request; try again").WithRetry(d.admission.RetryAfter(d.service.clock()))
+	return attempt
+}
+
 // attemptTimeout returns how long an attempt may take: on a stream until the answer
 // begins, otherwise until it is complete. 0 means that only the deadline of the
 // request applies.
