--- a/core/dispatch/statement.go
+++ b/core/dispatch/statement.go
@@ -178,6 +178,9 @@
 // pausedUntil returns until when the target gets no request because of a pause, or the
 // zero time if it may get one.
 func (s State) pausedUntil(t roster.Target, now time.Time) time.Time {
+	if s.statements.Len() == 0 {
+		return time.Time{}
+	}
 	known := s.statement(t)
 	switch {
 	case known.pausedUntil.IsZero():
