--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -91,9 +91,10 @@
 	}
 }
 
-// TestSharedBlame guards against sound requests that are kept from targets for long since
-// their first part stood beside the deadly one when nothing was proven yet: a request with
-// one of the two is tried soon, and a proof of one leaves the blame with the other.
+// TestSharedBlame guards against sound requests that are kept from targets for long,
+// since their first part stood beside one that crashes targets when nothing was proven
+// yet: a request with one of the two is tried soon, and a proof of one leaves the blame
+// with the other.
 func TestSharedBlame(t *testing.T) {
 	both := []string{"first", "dead"}
 	suspected := quarantine.New("g").WithCrash(both, quarantine.Begun, start)
--- a/scenario/soak/caller_test.go
+++ b/scenario/soak/caller_test.go
@@ -57,8 +57,8 @@
 		request.Header.Set(name, value)
 	}
 	parts := "first:40,"
-	if c.world.deadly.active() && path == "/flow/x" && c.rng.IntN(5) == 0 {
-		parts += deadlyPart + ":300,"
+	if c.world.crashRecord.active() && path == "/flow/x" && c.rng.IntN(5) == 0 {
+		parts += crashingPart + ":300,"
 	}
 	request.Header.Set("Prompt-Prefix", parts+id+":7")
 	c.world.ledger.recordSent(id, tenant, path == "/once/x")
--- a/scenario/soak/promise_test.go
+++ b/scenario/soak/promise_test.go
@@ -12,12 +12,12 @@
 )
 
 const (
-	pauseSlack     = 500 * time.Millisecond // after a server asked for a pause, until requests count
-	maxInPause     = 2                      // requests that may reach a server in a pause
-	maxDeadlyAfter = 3                      // requests with the deadly part that may reach servers once the gateways know it
-	learnTime      = time.Second            // after a crash, until all gateways know the deadly part
-	deadlyDowntime = time.Second            // of a server that crashed
-	deadlyPart     = "dead"
+	pauseSlack      = 500 * time.Millisecond // after a server asked for a pause, until requests count
+	maxInPause      = 2                      // requests that may reach a server in a pause
+	maxCrashesAfter = 3                      // requests with the crashing part that may reach servers once the gateways know it
+	learnTime       = time.Second            // after a crash, until all gateways know the crashing part
+	crashDowntime   = time.Second            // of a server that crashed
+	crashingPart    = "dead"
 )
 
 // behavior is what a server says of itself in its answers.
@@ -125,21 +125,21 @@
 	return false
 }
 
-// deadly records the crashes of servers by requests that hold deadlyPart.
-type deadly struct {
+// crashRecord records the crashes of servers by requests that hold crashingPart.
+type crashRecord struct {
 	mu      sync.Mutex
 	sending bool      // guarded by mu; callers send such requests
 	firstAt time.Time // guarded by mu; first crash that no fault of a link hid from the gateways
 	after   int       // guarded by mu; requests that came later than learnTime after it
 }
 
-func (d *deadly) set(sending bool) {
+func (d *crashRecord) set(sending bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.sending = sending
 }
 
-func (d *deadly) active() bool {
+func (d *crashRecord) active() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.sending
@@ -147,31 +147,31 @@
 
 // crashes returns the time of the first crash that the gateways could see, and how many
 // requests with the part reached servers later than learnTime after it.
-func (d *deadly) crashes() (first time.Time, after int) {
+func (d *crashRecord) crashes() (first time.Time, after int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.firstAt, d.after
 }
 
-// recordCrash records a request with deadlyPart that reached a server from a gateway,
+// recordCrash records a request with crashingPart that reached a server from a gateway,
 // and crashes the server.
-func (d *deadly) recordCrash(s *server, gatewayIP string) {
+func (d *crashRecord) recordCrash(s *server, gatewayIP string) {
 	d.mu.Lock()
 	switch now := time.Now(); {
 	case d.firstAt.IsZero() && s.world.runsSince(gatewayIP, now.Add(-learnTime)):
 		d.firstAt = now
 	case !d.firstAt.IsZero() && now.Sub(d.firstAt) > learnTime && s.world.gatewayRunsSince(gatewayIP, now.Add(-learnTime)):
-		if d.after++; d.after > maxDeadlyAfter {
+		if d.after++; d.after > maxCrashesAfter {
 			s.world.ledger.addViolation("BUDGET: %d requests with a part that crashes servers came later than %v after the first crash", d.after, learnTime)
 		}
 	}
 	d.mu.Unlock()
-	s.world.crashing.Go(func() { s.world.replace(faultParams{server: s.index, duration: deadlyDowntime}, false) })
+	s.world.crashing.Go(func() { s.world.replace(faultParams{server: s.index, duration: crashDowntime}, false) })
 }
 
-// TestDeadlyPart has callers send requests that crash servers while gateways are killed
+// TestCrashingPart has callers send requests that crash servers while gateways are killed
 // and replaced one after the other, and no other fault hides the crashes.
-func TestDeadlyPart(t *testing.T) {
+func TestCrashingPart(t *testing.T) {
 	const phase = 1500 * time.Millisecond // between the steps of the run
 	w := newWorld(t, firstNetwork+int(worldCount.Add(1)%networkCount), rand.New(rand.NewPCG(7, 2)))
 	ctx, cancel := context.WithCancel(t.Context())
@@ -181,15 +181,15 @@
 		calling.Go(func() { newCaller(w, fmt.Sprintf("c%d", i), uint64(i)).run(ctx) })
 	}
 	time.Sleep(phase)
-	w.deadly.set(true)
+	w.crashRecord.set(true)
 	for _, g := range append(w.gateways[1:], w.gateways[1:]...) {
 		time.Sleep(phase)
 		restart(&g.process, phase/5)
 	}
 	time.Sleep(phase)
-	w.deadly.set(false)
+	w.crashRecord.set(false)
 	served, sent := w.ledger.totals()
-	first, after := w.deadly.crashes()
+	first, after := w.crashRecord.crashes()
 	t.Logf("first crash %v after the start, %d requests with the part later", first.Sub(w.started), after)
 	if first.IsZero() {
 		t.Errorf("no request crashed a server")
--- a/scenario/soak/soak_test.go
+++ b/scenario/soak/soak_test.go
@@ -215,9 +215,9 @@
 	{"server lies about leaving", func(w *world, d faultParams) { w.servers[d.server].say(liesAboutLeaving, d.duration) }},
 	{"server leaves without a word to the store", func(w *world, d faultParams) { w.leave(d) }},
 	{"requests that crash servers", func(w *world, d faultParams) {
-		w.deadly.set(true)
+		w.crashRecord.set(true)
 		time.Sleep(d.duration)
-		w.deadly.set(false)
+		w.crashRecord.set(false)
 	}},
 	{"server slow", func(w *world, d faultParams) { w.servers[d.server].degrade(true, false, d.duration) }},
 	{"server flaky", func(w *world, d faultParams) { w.servers[d.server].degrade(false, true, d.duration) }},
--- a/scenario/soak/target_test.go
+++ b/scenario/soak/target_test.go
@@ -162,15 +162,15 @@
 func answerTo(id, tenant string) string { return strings.Repeat(id+" for "+tenant+"\n", 20) }
 
 // stream sends the events that follow the Last-Event-Id of the request. It crashes the
-// server after the head if the prompt has deadlyPart.
+// server after the head if the prompt has crashingPart.
 func (s *server) stream(w http.ResponseWriter, r *http.Request, id, gatewayIP string) {
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
-	if strings.Contains(r.Header.Get("Prompt-Prefix"), deadlyPart+":") {
+	if strings.Contains(r.Header.Get("Prompt-Prefix"), crashingPart+":") {
 		_ = control.Flush()
-		s.world.deadly.recordCrash(s, gatewayIP)
-		_ = wait(r.Context(), deadlyDowntime) // until the connection is closed
+		s.world.crashRecord.recordCrash(s, gatewayIP)
+		_ = wait(r.Context(), crashDowntime) // until the connection is closed
 		return
 	}
 	for n := after + 1; n <= eventsPerStream; n++ {
--- a/scenario/soak/world_test.go
+++ b/scenario/soak/world_test.go
@@ -156,18 +156,18 @@
 
 // world holds the processes, the stand-ins and the records of one run of the soak.
 type world struct {
-	t        *testing.T
-	started  time.Time
-	network  int // N of the loopback network 127.N.0.0/16
-	store    *store
-	group    *group
-	ledger   *ledger
-	gateways []*gateway
-	stewards []*process
-	servers  []*server
-	deadly   deadly
-	crashing sync.WaitGroup // replacements of servers that requests crashed
-	links    []*relay       // to the servers, in the order of servers
+	t           *testing.T
+	started     time.Time
+	network     int // N of the loopback network 127.N.0.0/16
+	store       *store
+	group       *group
+	ledger      *ledger
+	gateways    []*gateway
+	stewards    []*process
+	servers     []*server
+	crashRecord crashRecord
+	crashing    sync.WaitGroup // replacements of servers that requests crashed
+	links       []*relay       // to the servers, in the order of servers
 
 	mu           sync.Mutex
 	version      int  // of the configuration; guarded by mu
