Let a departure that peers repeat expire

Found by reading: gateways report how long ago a target said that it leaves, and the age misses the time on the way. A gateway whose belief had expired took it over again from a peer, a little younger each time, and gave it back; a target that said so wrongly could stay without work for good.

Change: a report whose time differs by less than a second from the known one is the same answer.

Measured: TestRepeatedDepartures failed before: 70 s after the answer both gateways still took the target for leaving.

--- a/core/dispatch/statement.go
+++ b/core/dispatch/statement.go
@@ -15,6 +15,7 @@
 	leavingTimeout    = time.Minute      // a target that is still listed as ready then gets work again
 	statementLifetime = 10 * time.Minute // what a target that is no longer listed said is kept this long: its entry may return after an outage
 	maxDepartures     = 64               // in a report to peers
+	departureSlack    = time.Second      // reports whose times differ by less mean the same answer: gateways report ages, which grow on the way
 )
 
 // statement is what the process of a target said of itself in its answers. Statements
@@ -120,10 +121,13 @@
 func (s State) WithDepartures(departures []Departure, now time.Time) State {
 	for _, d := range departures {
 		t, listed := s.Roster.Target(d.Target)
-		if !listed || d.StartUnixMilli != 0 && t.StartUnixMilli != 0 && d.StartUnixMilli != t.StartUnixMilli || s.SaidLeaving(t) || d.At.After(now) {
+		if !listed || d.StartUnixMilli != 0 && t.StartUnixMilli != 0 && d.StartUnixMilli != t.StartUnixMilli || d.At.After(now) {
 			continue
 		}
 		known := s.statement(t)
+		if d.At.Sub(known.leavingAt) <= departureSlack || s.SaidLeaving(t) {
+			continue
+		}
 		known.leavingAt = d.At
 		s = s.withStatement(t.ID, known, now)
 		if s.SaidLeaving(t) {
--- a/core/dispatch/statement_test.go
+++ b/core/dispatch/statement_test.go
@@ -211,3 +211,25 @@
 		}
 	}
 }
+
+// TestRepeatedDepartures checks that gateways that repeat to each other that a target
+// leaves, each time a little later, don't keep it from work for longer than one does.
+func TestRepeatedDepartures(t *testing.T) {
+	a, b := process("a", 100, 1), process("b", 100, 2)
+	first := listed(dispatch.New("g", "d1", bounds), 2, 0, a, b).WithLeaving(a, at(0))
+	second := listed(dispatch.New("h", "d1", bounds), 2, 0, a, b)
+	delayed := func(departures []dispatch.Departure) []dispatch.Departure {
+		for i := range departures {
+			departures[i].At = departures[i].At.Add(5 * time.Millisecond)
+		}
+		return departures
+	}
+	for ms := 0; ms < 70_000; ms += 5 {
+		first, second = first.WithSync(at(ms)), second.WithSync(at(ms))
+		second = second.WithDepartures(delayed(first.Departures(at(ms))), at(ms))
+		first = first.WithDepartures(delayed(second.Departures(at(ms))), at(ms))
+	}
+	if first.SaidLeaving(a) || second.SaidLeaving(a) {
+		t.Errorf("the target is taken for leaving 70 s after it said so: %t and %t, want neither", first.SaidLeaving(a), second.SaidLeaving(a))
+	}
+}
