Try a lost group although peers repeat that it is lost

Change: a report of the same condition whose time differs by at most 100 ms is the known one. Two that contradict each other count by time as before.

Measured: TestProbesBesideReports failed before: no request within a second.

--- a/core/dispatch/group.go
+++ b/core/dispatch/group.go
@@ -16,6 +16,8 @@
 	maxProbeInterval = 2 * time.Second
 	probeSpacing     = 10 * time.Millisecond // mean time between the attempts of all gateways together
 
+	repeatSlack = 100 * time.Millisecond // reports whose times differ by less mean the same evidence: gateways report ages, which grow on the way; less than minProbeInterval
+
 	maxRankAge     = 3 * time.Second // an older report of a rank says nothing about the condition of its group
 	shareEvidence  = 5 * time.Second // how long a change of a group's condition is reported to peers
 	formingPenalty = 4               // requests added to the load of the ranks of a group that uses its first expert map
@@ -149,10 +151,13 @@
 }
 
 // WithPeerConditions returns the state after a peer reported conditions of groups.
-// Of two contradicting ones, the later counts.
+// Of two contradicting ones, the later counts. One that is known already changes nothing:
+// it would put off the next attempt at a lost group.
 func (s State) WithPeerConditions(conditions []Condition, now time.Time) State {
 	for _, c := range conditions {
-		if c.At.After(s.groups.conditions[c.Group].At) && !c.At.After(now) {
+		known := s.groups.conditions[c.Group]
+		repeated := c.Lost == known.Lost && c.At.Sub(known.At) <= repeatSlack
+		if c.At.After(known.At) && !c.At.After(now) && !repeated {
 			s = s.withCondition(c, "a peer reported it", now)
 		}
 	}
--- a/core/dispatch/group_test.go
+++ b/core/dispatch/group_test.go
@@ -262,3 +262,25 @@
 		}
 	})
 }
+
+// TestProbesBesideReports guards against reports between gateways that keep a lost group
+// from being tried: each repeats what the other said, a little later each time.
+func TestProbesBesideReports(t *testing.T) {
+	a, b := state(), state()
+	lost, _ := a.Roster.Target("a")
+	a = a.WithGroupLost(lost, at(0))
+	delayed := func(conditions []dispatch.Condition) []dispatch.Condition {
+		for i := range conditions {
+			conditions[i].At = conditions[i].At.Add(2 * time.Millisecond)
+		}
+		return conditions
+	}
+	for ms := 4; ms <= 1000; ms += 20 {
+		b = b.WithPeerConditions(delayed(a.Conditions(at(ms-2))), at(ms))
+		a = a.WithPeerConditions(delayed(b.Conditions(at(ms))), at(ms+2))
+		if _, _, refused := a.Choose(dispatch.Admission{Service: "s", Deadline: at(9000)}, nil, lowestRandom{}, at(ms+2)); refused == nil {
+			return
+		}
+	}
+	t.Errorf("the group got no request within a second after it was lost")
+}
