Log the limits that targets name

Whether a gateway knew of a target's limit could not be told from its lines, and the header went to callers. No decision depends on it yet.

--- a/core/dispatch/statement.go
+++ b/core/dispatch/statement.go
@@ -25,6 +25,7 @@
 	leavingAt   time.Time // when it last said that it leaves; zero for never
 	pausedUntil time.Time // end of the pause that it asked for; zero for none, or once it answered after the pause
 	triedAt     time.Time // when a request was sent to it after the pause; zero for not yet
+	limit       Limit
 	changedAt   time.Time
 }
 
--- a/gateway/serve/port.go
+++ b/gateway/serve/port.go
@@ -48,6 +48,10 @@
 
 	Pause        time.Duration // Pause is how long the target wants no requests from this gateway; 0 for no pause.
 	InvalidPause string        // InvalidPause is a request for a pause that can't be understood; empty for none.
+
+	Limited      bool    // Limited reports whether the target names a limit on the requests of all gateways together.
+	Limit        float64 // Limit is this limit, in requests a second.
+	InvalidLimit string  // InvalidLimit is a quoted limit that can't be understood; empty for none.
 }
 
 // ErrNotSent is wrapped by errors of Send if the gateway sent no byte of the request.
--- a/gateway/serve/service.go
+++ b/gateway/serve/service.go
@@ -212,33 +212,6 @@
 	s.Change(func(state dispatch.State, now time.Time) dispatch.State { return state.WithGroupLost(target, now) })
 }
 
-// recordStatements records what a target says of itself in the head of an answer. If
-// another process answered, the head says nothing of the target.
-func (s *Service) recordStatements(target roster.Target, head Head) {
-	if head.Replaced {
-		return
-	}
-	if head.InvalidPause != "" {
-		s.meter.Inc("statements", "pause ignored")
-	}
-	if head.Leaving {
-		s.meter.Inc("statements", "leaving")
-		s.Change(func(state dispatch.State, now time.Time) dispatch.State { return state.WithLeaving(target, now) })
-	}
-	switch {
-	case head.Pause > 0:
-		s.meter.Inc("statements", "pause")
-		s.Change(func(state dispatch.State, now time.Time) dispatch.State {
-			return state.WithPause(target, head.Pause, now)
-		})
-	case s.State().AwaitsTrial(target):
-		s.Change(func(state dispatch.State, now time.Time) dispatch.State {
-			s.capacityFreed.Raise()
-			return state.WithPauseOver(target, now)
-		})
-	}
-}
-
 // recordProof records that the answer to a request with the parts got under way.
 func (s *Service) recordProof(parts []string) {
 	if len(parts) > 0 && !s.State().Proven(parts) {
