Log what the store lists after it dropped its history, and its era

The lines of a store that came back from an older copy could not tell whether listings failed, were ignored, or were undone by peers.

--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -40,6 +40,7 @@
 type Batch struct {
 	Items    []Item
 	Revision uint64    // Revision is the last revision that the read covers.
+	Era      uint64    // Era counts how often the store came back from an older copy; 0 if the store doesn't say.
 	Complete bool      // Complete is set if Items holds everything that exists, so that what is missing was removed.
 	ReadAt   time.Time // ReadAt is when the read began.
 }
@@ -161,6 +162,9 @@
 		case err != nil:
 			f.readFailed(ctx, err)
 		default:
+			if full {
+				f.journal.Event("store listed", "era", batch.Era, "revision", batch.Revision, "held", f.inbox.mirror.Revision(), "older", f.inbox.mirror.countNewer(batch))
+			}
 			full = false
 			f.readSucceeded()
 			f.inbox.mirror.SetStoreAccess(StoreAccess{LastRead: f.inbox.clock(), LastFailure: f.inbox.mirror.StoreAccess().LastFailure})
--- a/gateway/follow/mirror.go
+++ b/gateway/follow/mirror.go
@@ -106,6 +106,19 @@
 	m.pruneRemovals()
 }
 
+// countNewer returns how many items of a batch the mirror holds in a newer revision.
+func (m *Mirror) countNewer(batch Batch) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	count := 0
+	for _, item := range batch.Items {
+		if item.Revision < m.items[item.Key].Revision {
+			count++
+		}
+	}
+	return count
+}
+
 // pruneRemovals drops the oldest removals in excess of maxRemovals. It is
 // called with mu held.
 func (m *Mirror) pruneRemovals() {
