Order what the store says by its era before its revision

Cause: revisions were compared across the return, so that what was written with a number that was given out before was ignored. The class is an order taken from a source that may restart its count.

A revision now holds the store's era above its number. What the copy says against what was known waits until it is written again or has stood for some seconds. Configurations are ordered by version, also among peers.

--- a/core/dispatch/update.go
+++ b/core/dispatch/update.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"strconv"
 	"time"
 
 	"hornbeamtray/core/eject"
@@ -18,6 +19,7 @@
 type Evacuation struct {
 	Domain    string
 	Evacuated bool
+	Lost      bool // Lost means that the store lacks it since it came back from an older copy, so that it may not have ended.
 	Revision  uint64
 }
 
@@ -39,6 +41,12 @@
 		s = s.WithBook(book, now)
 	}
 	r := s.Roster
+	if era := roster.Era(update.Revision); era > r.Era() {
+		if r.Era() > 0 {
+			s.Trail = s.Trail.With(now, "store", "it came back from an older copy", eraText(r.Era()), eraText(era))
+		}
+		r = r.WithEra(era, now)
+	}
 	ids, domains := map[string]bool{}, map[string]bool{}
 	for _, t := range update.Targets {
 		if known, found := r.Target(t.ID); found && known.StartUnixMilli != t.StartUnixMilli && t.Revision > known.Revision {
@@ -48,6 +56,10 @@
 		ids[t.ID] = true
 	}
 	for _, evacuation := range update.Evacuations {
+		if evacuation.Lost {
+			r = r.WithLostEvacuation(evacuation.Domain, evacuation.Revision)
+			continue
+		}
 		r = r.WithEvacuated(evacuation.Domain, evacuation.Evacuated, evacuation.Revision)
 		domains[evacuation.Domain] = evacuation.Evacuated
 	}
@@ -113,6 +125,8 @@
 	return s
 }
 
+func eraText(era uint64) string { return "era " + strconv.FormatUint(era, 10) }
+
 // workState returns the name of a target's state in the trail.
 func workState(accepts bool) string {
 	if accepts {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -41,6 +41,11 @@
 	restored      map[string]uint64              // revision of the last end of an evacuation, by domain; never written after construction
 	storeLost     bool                           // the store can't be read
 	storeRegained time.Time                      // end of the last known outage of the store
+
+	era            uint64                 // latest era of the store that is known
+	eraSince       time.Time              // when the era was first known; zero for the first era
+	doubted        map[string]Target      // entries that may stem from an older copy, by target; never written after construction
+	doubtedDomains map[string]domainDoubt // by domain; never written after construction
 }
 
 // New returns an empty roster.
@@ -49,11 +54,22 @@
 }
 
 // WithTarget returns the roster with the target added or updated, unless a newer
-// entry or removal of it is known.
+// entry or removal of it is known. An entry that may stem from an older copy of the store
+// has to wait.
 func (r Roster) WithTarget(t Target) Roster {
-	if known, found := r.targets.Get(t.ID); found && known.Revision >= t.Revision || r.removed[t.ID] >= t.Revision {
+	known, found := r.targets.Get(t.ID)
+	if found && known.Revision >= t.Revision || r.removed[t.ID] >= t.Revision {
 		return r
 	}
+	restarted := found && known.StartUnixMilli != 0 && t.StartUnixMilli > known.StartUnixMilli
+	if mayBeRestored(t.Revision, max(known.Revision, r.removed[t.ID])) && !restarted && !(found && t.agrees(known)) {
+		return r.withDoubtedTarget(t)
+	}
+	return r.withoutDoubt(t.ID).with(t)
+}
+
+// with returns the roster with the entry of a target, which is the newest.
+func (r Roster) with(t Target) Roster {
 	if known, found := r.targets.Get(t.ID); found && known.Address != t.Address {
 		r = r.without(t.ID)
 	}
@@ -117,6 +133,7 @@
 	if found && known.Revision >= revision || r.removed[id] >= revision {
 		return r
 	}
+	r = r.withoutDoubt(id)
 	r.removed = withEntry(r.removed, id, revision)
 	if !found {
 		return r
@@ -143,9 +160,16 @@
 // WithEvacuated returns the roster with the failure domain evacuated, or with its
 // evacuation ended, unless a newer change of the domain is known.
 func (r Roster) WithEvacuated(domain string, evacuated bool, revision uint64) Roster {
-	if max(r.evacuated[domain], r.restored[domain]) >= revision {
+	known := max(r.evacuated[domain], r.restored[domain])
+	if known >= revision {
 		return r
 	}
+	if evacuated && !r.Evacuated(domain) && mayBeRestored(revision, known) {
+		return r.withDoubtedEvacuation(domain, revision)
+	}
+	if r.hasDoubt(domain) {
+		r.doubtedDomains = withoutEntry(r.doubtedDomains, domain)
+	}
 	if evacuated {
 		r.evacuated = withEntry(r.evacuated, domain, revision)
 	} else {
@@ -159,7 +183,11 @@
 // and were not evacuated later.
 func (r Roster) WithFullEvacuations(domains map[string]bool, revision uint64) Roster {
 	for domain, at := range r.evacuated {
-		if !domains[domain] && at <= revision {
+		switch {
+		case domains[domain] || at > revision || r.hasDoubt(domain):
+		case Era(at) < Era(revision):
+			r = r.WithLostEvacuation(domain, revision)
+		default:
 			r = r.WithEvacuated(domain, false, revision)
 		}
 	}
@@ -203,7 +231,7 @@
 			r = r.without(id)
 		}
 	}
-	return r
+	return r.withoutOldDoubts(now)
 }
 
 // Evacuated reports whether the failure domain is evacuated.
@@ -255,9 +283,3 @@
 	out[key] = value
 	return out
 }
-
-func withoutEntry[V any](m map[string]V, key string) map[string]V {
-	out := maps.Clone(m)
-	delete(out, key)
-	return out
-}
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -9,12 +9,14 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"gopkg.in/tomb.v2"
 
 	"hornbeamtray/adapter/clock"
 	"hornbeamtray/core/dispatch"
+	"hornbeamtray/core/roster"
 )
 
 const (
@@ -34,21 +36,41 @@
 	Value    []byte
 	Revision uint64
 	Removed  bool
+	Lost     bool   // Lost means that the store lacks the item since it came back from an older copy.
+	Version  uint64 // Version is that of a value which has one; a lower version never replaces a higher one.
 }
 
 // Batch is the result of one read.
 type Batch struct {
 	Items    []Item
 	Revision uint64    // Revision is the last revision that the read covers.
-	Era      uint64    // Era counts how often the store came back from an older copy; 0 if the store doesn't say.
 	Complete bool      // Complete is set if Items holds everything that exists, so that what is missing was removed.
 	ReadAt   time.Time // ReadAt is when the read began.
 }
 
+// Versioned returns a batch of the values that have a version, which proves nothing about
+// others.
+func (b Batch) Versioned() Batch {
+	return Batch{Items: slices.DeleteFunc(slices.Clone(b.Items), func(i Item) bool { return i.Version == 0 })}
+}
+
+// LaterThan reports whether the batch is of a later era of the store than another, or of
+// the same one and read later.
+func (b Batch) LaterThan(other Batch) bool {
+	if era, otherEra := roster.Era(b.Revision), roster.Era(other.Revision); era != otherEra {
+		return era > otherEra
+	}
+	return b.ReadAt.After(other.ReadAt)
+}
+
 // ErrCompacted is wrapped by an error of Watch if the store no longer has the
 // changes after the revision passed to Watch. The caller must then call List.
 var ErrCompacted = errors.New("the history after this revision was dropped")
 
+// errEarlierEra is the error of a read that returned the state of an earlier era than one
+// that the gateway or a peer has read.
+var errEarlierEra = errors.New("the store answered with the state before it went back; the last state read stays in force")
+
 // Store reads what the platform publishes.
 type Store interface {
 	// List returns all published items.
@@ -99,13 +121,17 @@
 // Mirror returns the mirror that holds the batches applied so far.
 func (i *Inbox) Mirror() *Mirror { return i.mirror }
 
-// Apply stores a batch in the mirror and applies it to the gateway's state.
-func (i *Inbox) Apply(batch Batch) {
-	i.mirror.Apply(batch)
+// Apply stores a batch in the mirror and applies it to the gateway's state. It reports
+// whether it did: a batch of an earlier era than that of the mirror proves nothing.
+func (i *Inbox) Apply(batch Batch) bool {
+	if !i.mirror.Apply(batch) {
+		return false
+	}
 	update := i.decode(batch, i.clock())
 	i.control.Change(func(s dispatch.State, now time.Time) dispatch.State {
 		return s.WithUpdate(update, now)
 	})
+	return true
 }
 
 // Follower reads the store, or fetches from peers, and applies what it gets to an
@@ -156,14 +182,17 @@
 		switch {
 		case ctx.Err() != nil:
 		case errors.Is(err, ErrCompacted):
-			f.journal.Event("store history dropped", "revision", f.inbox.mirror.Revision())
+			f.journal.Event("store history dropped", "revision", roster.Number(f.inbox.mirror.Revision()))
 			full = true
 			clock.Pause(ctx, minBackoff)
 		case err != nil:
 			f.readFailed(ctx, err)
+		case roster.Era(batch.Revision) < roster.Era(f.inbox.mirror.Revision()):
+			full = true
+			f.readFailed(ctx, errEarlierEra)
 		default:
 			if full {
-				f.journal.Event("store listed", "era", batch.Era, "revision", batch.Revision, "held", f.inbox.mirror.Revision(), "older", f.inbox.mirror.countNewer(batch))
+				f.logListing(batch)
 			}
 			full = false
 			f.readSucceeded()
@@ -177,6 +206,13 @@
 	return nil
 }
 
+// logListing logs what a full listing says, before it is applied.
+func (f *Follower) logListing(batch Batch) {
+	held := f.inbox.mirror.Revision()
+	f.journal.Event("store listed", "era", roster.Era(batch.Revision), "revision", roster.Number(batch.Revision),
+		"held_era", roster.Era(held), "held", roster.Number(held), "older", f.inbox.mirror.countNewer(batch))
+}
+
 func (f *Follower) read(ctx context.Context, full bool) (Batch, error) {
 	if full {
 		return f.store.List(ctx)
@@ -198,7 +234,7 @@
 	skip := !f.storeLost && !now.Before(f.ownReadsUntil) && f.peers.EnoughReaders()
 	if skip != f.skipsReads {
 		f.skipsReads = skip
-		f.journal.Event("reading the store", "spared", skip, "revision", f.inbox.mirror.Revision(), "old", stale)
+		f.journal.Event("reading the store", "spared", skip, "revision", roster.Number(f.inbox.mirror.Revision()), "old", stale)
 	}
 	return skip
 }
@@ -209,7 +245,7 @@
 	f.inbox.mirror.SetStoreAccess(StoreAccess{LastRead: f.inbox.mirror.StoreAccess().LastRead, LastFailure: f.inbox.clock()})
 	if !f.storeLost {
 		f.storeLost = true
-		f.journal.Event("store lost", "error", err.Error(), "revision", f.inbox.mirror.Revision())
+		f.journal.Event("store lost", "error", err.Error(), "revision", roster.Number(f.inbox.mirror.Revision()))
 		f.inbox.control.Change(func(s dispatch.State, now time.Time) dispatch.State {
 			return s.WithStore(false, "it can't be read", now)
 		})
@@ -230,7 +266,7 @@
 		return
 	}
 	f.storeLost = false
-	f.journal.Event("store regained", "revision", f.inbox.mirror.Revision())
+	f.journal.Event("store regained", "revision", roster.Number(f.inbox.mirror.Revision()))
 	f.inbox.control.Change(func(s dispatch.State, now time.Time) dispatch.State {
 		return s.WithStore(true, "it was read again", now)
 	})
--- a/gateway/follow/mirror.go
+++ b/gateway/follow/mirror.go
@@ -1,10 +1,13 @@
 package follow
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"sync"
 	"time"
+
+	"hornbeamtray/core/roster"
 )
 
 // readerTimeout is how long a gateway counts as a reader of the store after its
@@ -22,6 +25,7 @@
 	mu       sync.Mutex
 	items    map[string]Item // guarded by mu; includes removals
 	revision uint64          // guarded by mu
+	version  uint64          // guarded by mu; highest version of an item
 	syncedAt time.Time       // guarded by mu
 	listed   bool            // guarded by mu; set once a complete batch was applied
 	access   StoreAccess     // guarded by mu
@@ -80,22 +84,28 @@
 	return m.syncedAt
 }
 
-// Apply merges a batch into the mirror.
-func (m *Mirror) Apply(batch Batch) {
+// Apply merges a batch into the mirror. It reports false, and changes nothing, if the batch
+// covers a read of an earlier era of the store than the mirror does.
+func (m *Mirror) Apply(batch Batch) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if batch.Revision != 0 && roster.Era(batch.Revision) < roster.Era(m.revision) {
+		return false
+	}
 	present := map[string]bool{}
 	for _, item := range batch.Items {
 		present[item.Key] = true
-		if item.Revision > m.items[item.Key].Revision {
+		if item.replaces(m.items[item.Key]) {
 			m.items[item.Key] = item
+			m.version = max(m.version, item.Version)
 		}
 	}
 	if batch.Complete {
 		m.listed = true
 		for key, item := range m.items {
-			if !present[key] && !item.Removed && item.Revision <= batch.Revision {
-				m.items[key] = Item{Key: key, Revision: batch.Revision, Removed: true}
+			if !present[key] && !item.Removed && item.Version == 0 && item.Revision <= batch.Revision {
+				lost := roster.Era(item.Revision) < roster.Era(batch.Revision)
+				m.items[key] = Item{Key: key, Revision: batch.Revision, Removed: true, Lost: lost}
 			}
 		}
 	}
@@ -104,6 +114,23 @@
 		m.syncedAt = batch.ReadAt
 	}
 	m.pruneRemovals()
+	return true
+}
+
+// replaces reports whether the item is newer than the known one of its key. Neither a lower
+// version nor a removal replaces a value that has a version.
+func (i Item) replaces(known Item) bool {
+	if known.Version != 0 && i.Version != known.Version {
+		return i.Version > known.Version
+	}
+	return i.Revision > known.Revision
+}
+
+// Version returns the highest version of a value that has one.
+func (m *Mirror) Version() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version
 }
 
 // countNewer returns how many items of a batch the mirror holds in a newer revision.
@@ -112,7 +139,7 @@
 	defer m.mu.Unlock()
 	count := 0
 	for _, item := range batch.Items {
-		if item.Revision < m.items[item.Key].Revision {
+		if known := m.items[item.Key]; item.Revision != known.Revision && !item.replaces(known) {
 			count++
 		}
 	}
@@ -131,7 +158,7 @@
 	if len(removed) <= maxRemovals {
 		return
 	}
-	slices.SortFunc(removed, func(a, b Item) int { return int(int64(a.Revision) - int64(b.Revision)) })
+	slices.SortFunc(removed, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
 	for _, item := range removed[:len(removed)-maxRemovals] {
 		delete(m.items, item.Key)
 	}
--- a/gateway/peers/compress.go
+++ b/gateway/peers/compress.go
@@ -25,7 +25,7 @@
 
 // encode returns a published item as it is sent to peers.
 func (c *compressor) encode(it follow.Item) (item, error) {
-	out := item{Key: it.Key, Value: it.Value, Revision: it.Revision, Removed: it.Removed}
+	out := item{Key: it.Key, Value: it.Value, Revision: it.Revision, Removed: it.Removed, Lost: it.Lost, Version: it.Version}
 	if len(it.Value) < minCompressBytes {
 		return out, nil
 	}
@@ -53,7 +53,7 @@
 // decode returns the published item that a peer encoded. It returns an error if
 // the value does not have the length that the peer gave.
 func decode(it item) (follow.Item, error) {
-	out := follow.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Removed: it.Removed}
+	out := follow.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Removed: it.Removed, Lost: it.Lost, Version: it.Version}
 	if it.Length == 0 {
 		return out, nil
 	}
--- /dev/null
+++ b/gateway/peers/era_test.go
@@ -0,0 +1,55 @@
+package peers_test
+
+import (
+	"testing"
+	"time"
+
+	"hornbeamtray/core/roster"
+	"hornbeamtray/gateway/follow"
+)
+
+// TestPeersAcrossEras guards against gateways that bring back, or withhold, what was known
+// before the store came back from an older copy: whichever of them has read the store, all
+// end in its latest era with the highest version.
+func TestPeersAcrossEras(t *testing.T) {
+	config := func(version, era, number uint64) follow.Item {
+		return follow.Item{Key: "config", Value: []byte{byte(version)}, Version: version, Revision: roster.Revision(era, number)}
+	}
+	before := follow.Batch{Complete: true, Revision: roster.Revision(1, 32), Items: []follow.Item{config(12, 1, 32)}}
+	back := follow.Batch{Complete: true, Revision: roster.Revision(2, 20), Items: []follow.Item{config(5, 2, 9)}}
+	tests := []struct {
+		name        string
+		one, two    []follow.Batch
+		first       time.Duration // age of the reads of the first gateway
+		second      time.Duration // age of the reads of the second gateway
+		wantVersion byte
+	}{
+		{"one knows of the return", []follow.Batch{before, back}, []follow.Batch{before}, time.Second, time.Second, 12},
+		{"one read it before the other's last read", []follow.Batch{before, back}, []follow.Batch{before}, 5 * time.Second, 0, 12},
+		{"one that started after the return", []follow.Batch{back}, []follow.Batch{before}, time.Second, time.Second, 12},
+		{"one that started after the return, beside one that knows of it", []follow.Batch{back}, []follow.Batch{before, back}, 0, time.Second, 12},
+		{"nobody knows what came before", []follow.Batch{back}, nil, time.Second, time.Second, 5},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			one := startGateway(t, "one", "")
+			two := startGateway(t, "two", one.address)
+			for _, read := range []struct {
+				gateway gateway
+				batches []follow.Batch
+				age     time.Duration
+			}{{one, tt.one, tt.first}, {two, tt.two, tt.second}} {
+				for _, batch := range read.batches {
+					batch.ReadAt = time.Now().Add(-read.age)
+					read.gateway.mirror.Apply(batch)
+				}
+			}
+			for _, g := range []gateway{one, two} {
+				eventually(t, g.name+" is in the latest era with the highest version", func() bool {
+					batch, _ := g.mirror.Since(0)
+					return roster.Era(g.mirror.Revision()) == 2 && len(batch.Items) == 1 && batch.Items[0].Value[0] == tt.wantVersion
+				})
+			}
+		})
+	}
+}
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -61,6 +61,7 @@
 	Full     bool          `json:"full,omitempty"` // the report includes Home and Ranks, and the response is to include them
 	Listed   bool          `json:"complete"`       // the gateway has listed everything at least once
 	Revision uint64        `json:"revision"`       // last revision that the gateway covers
+	Version  uint64        `json:"version"`        // highest version of a value that it holds
 	SyncAge  time.Duration `json:"age"`            // since the sync time of the gateway's mirror
 
 	Ranks      []rankReport `json:"ranks,omitempty"`  // what stewards reported to the gateway itself
@@ -262,7 +263,7 @@
 	state, access, now := p.service.State(), p.inbox.Mirror().StoreAccess(), p.clock()
 	r := report{
 		Name: p.name, Address: p.address, Domain: state.Domain, Loads: state.Loads(), Silent: state.Silent(now),
-		Listed: listed, Revision: revision, SyncAge: now.Sub(syncedAt), IsReader: access.IsReader(now),
+		Listed: listed, Revision: revision, Version: p.inbox.Mirror().Version(), SyncAge: now.Sub(syncedAt), IsReader: access.IsReader(now),
 		Conditions: encodeConditions(state.Conditions(now), now),
 		Suspicions: encodeSuspicions(state.Suspicions(withPeers, now), now), Departures: encodeDepartures(state.Departures(now), now),
 	}
--- a/gateway/peers/relay.go
+++ b/gateway/peers/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"hornbeamtray/core/roster"
 	"hornbeamtray/gateway/follow"
 )
 
@@ -26,28 +27,51 @@
 	Length   int    `json:"length,omitempty"` // uncompressed, in bytes; 0 if not compressed
 	Revision uint64 `json:"revision"`
 	Removed  bool   `json:"removed,omitempty"`
+	Lost     bool   `json:"lost,omitempty"`    // the store lacks it since it came back from an older copy
+	Version  uint64 `json:"version,omitempty"` // of a value that has one
 }
 
 // syncFrom brings the mirror up to date after a peer's report. If the peer has
 // the same revision and a later sync time, it takes over the sync time; if the
 // peer is ahead, it fetches the changes. The peer's sync time is computed from
-// sentAt, when the report was requested, so that it is never too late.
+// sentAt, when the report was requested, so that it is never too late. A peer that
+// is behind may still hold a later version of a value, which the store has lost.
 func (p *Peers) syncFrom(address string, r report, sentAt time.Time) {
 	revision, syncedAt, _ := p.inbox.Mirror().SyncState()
 	peerSyncedAt := sentAt.Add(-r.SyncAge)
+	laterEra := roster.Era(r.Revision) > roster.Era(revision)
+	ahead := r.Listed && (laterEra || r.Revision >= revision && peerSyncedAt.After(syncedAt))
 	switch {
-	case !r.Listed || !peerSyncedAt.After(syncedAt) || r.Revision < revision:
+	case r.Listed && r.Version > p.inbox.Mirror().Version():
+		p.fetchAndApply(address, 0, func(b follow.Batch) follow.Batch {
+			if ahead {
+				return b
+			}
+			return b.Versioned()
+		})
+	case !ahead:
 	case r.Revision == revision:
 		p.inbox.Apply(follow.Batch{Revision: revision, ReadAt: peerSyncedAt})
 		p.clearBehind()
-	case p.fetching.TryLock():
-		defer p.fetching.Unlock()
-		ctx, cancel := context.WithTimeout(p.tomb.Context(context.Background()), relayTimeout)
-		defer cancel()
-		if batch, found := p.fetchFrom(ctx, address, p.inbox.Mirror().Revision()); found {
-			p.inbox.Apply(batch)
+	default:
+		p.fetchAndApply(address, p.inbox.Mirror().Revision(), func(b follow.Batch) follow.Batch {
 			p.clearBehind()
-		}
+			return b
+		})
+	}
+}
+
+// fetchAndApply fetches the changes after a revision from a peer and applies what selected
+// returns of them, unless another fetch is in progress.
+func (p *Peers) fetchAndApply(address string, after uint64, selected func(follow.Batch) follow.Batch) {
+	if !p.fetching.TryLock() {
+		return
+	}
+	defer p.fetching.Unlock()
+	ctx, cancel := context.WithTimeout(p.tomb.Context(context.Background()), relayTimeout)
+	defer cancel()
+	if batch, found := p.fetchFrom(ctx, address, after); found {
+		p.inbox.Apply(selected(batch))
 	}
 }
 
@@ -76,7 +100,7 @@
 }
 
 // FetchNewest returns the changes after a revision from the peer with the
-// latest sync time, or false if no peer could supply them.
+// latest sync time, of those that know the latest era of the store, or false if no peer could supply them.
 func (p *Peers) FetchNewest(ctx context.Context, after uint64) (follow.Batch, bool) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
@@ -87,7 +111,7 @@
 	}
 	var best follow.Batch
 	for range addresses {
-		if batch := <-batches; batch.ReadAt.After(best.ReadAt) {
+		if batch := <-batches; batch.LaterThan(best) {
 			best = batch
 		}
 	}
--- a/scenario/soak/soak_test.go
+++ b/scenario/soak/soak_test.go
@@ -199,6 +199,7 @@
 		w.store.setFault(func(s *store) { delete(s.rejected, d.gateway.ip) })
 	}},
 	{"store drops history", func(w *world, _ faultParams) { w.store.dropHistory() }},
+	{"store goes back", func(w *world, d faultParams) { w.storeGoesBack(2*d.duration, d.duration/4) }},
 	{"store link blocked", func(_ *world, d faultParams) { block(d.gateway.link, true, true, d.duration) }},
 	{"store responses blocked", func(_ *world, d faultParams) { block(d.gateway.link, false, true, d.duration) }},
 	{"server link blocked", func(w *world, d faultParams) { block(w.links[d.server], true, true, d.duration) }},
@@ -275,6 +276,19 @@
 	w.store.setFault(func(s *store) { s.outage = "" })
 }
 
+// storeGoesBack makes the store fail for a moment and restores it from a copy of some time
+// ago. What it lost is written again after a delay.
+func (w *world) storeGoesBack(age, delay time.Duration) {
+	w.store.goingBack.Lock()
+	defer w.store.goingBack.Unlock()
+	w.store.setFault(func(s *store) { s.outage = "busy" })
+	time.Sleep(delay)
+	lost := w.store.goBack(age)
+	w.store.setFault(func(s *store) { s.outage = "" })
+	time.Sleep(delay)
+	w.store.putAgain(lost)
+}
+
 // replace stops a server, after a drain if drains is set, and starts a new incarnation.
 func (w *world) replace(d faultParams, drains bool) {
 	s := w.servers[d.server]
--- a/scenario/soak/store_test.go
+++ b/scenario/soak/store_test.go
@@ -29,10 +29,22 @@
 	rejected    map[string]bool // guarded by mu; client IPs that get status 503
 	delay       time.Duration   // guarded by mu; before each answer
 	lastFault   time.Time       // guarded by mu; when a fault last began or ended
+	era         uint64          // guarded by mu; rises each time the store goes back
+	writes      []write         // guarded by mu; all that the store has not lost
+
+	goingBack sync.Mutex // held while the store goes back, until what it lost is written again
+}
+
+// write is a write to the store.
+type write struct {
+	at    time.Time
+	key   string
+	value any
+	item  item
 }
 
 func newStore() *store {
-	return &store{items: map[string]item{}, changed: make(chan struct{}), rejected: map[string]bool{}, lastFault: time.Now()}
+	return &store{items: map[string]item{}, changed: make(chan struct{}), rejected: map[string]bool{}, lastFault: time.Now(), era: 1}
 }
 
 // put writes an item. A nil value removes it.
@@ -45,6 +57,7 @@
 		e.Value, _ = json.Marshal(value)
 	}
 	s.items[key] = e
+	s.writes = append(s.writes, write{at: time.Now(), key: key, value: value, item: e})
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -70,10 +83,53 @@
 	s.setFault(func(s *store) { s.droppedUpTo = s.revision })
 }
 
+// goBack restores the store from a copy of some time ago, and returns what it lost, the
+// latest write of each key. Revisions go back and are given out again.
+func (s *store) goBack(age time.Duration) []write {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copied := time.Now().Add(-age)
+	kept := slices.IndexFunc(s.writes, func(w write) bool { return w.at.After(copied) })
+	if kept < 0 {
+		kept = len(s.writes)
+	}
+	latest, lost := map[string]write{}, []write(nil)
+	for _, w := range s.writes[kept:] {
+		latest[w.key] = w
+	}
+	for _, w := range s.writes[kept:] {
+		if latest[w.key].item.Revision == w.item.Revision {
+			lost = append(lost, w)
+		}
+	}
+	s.writes, s.items, s.revision = s.writes[:kept:kept], map[string]item{}, 0
+	for _, w := range s.writes {
+		s.items[w.key], s.revision = w.item, w.item.Revision
+	}
+	s.era, s.lastFault = s.era+1, time.Now()
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return lost
+}
+
+// putAgain writes what was lost, except keys that were written meanwhile.
+func (s *store) putAgain(lost []write) {
+	for _, l := range lost {
+		s.mu.Lock()
+		current := s.items[l.key]
+		rewritten := slices.ContainsFunc(s.writes, func(w write) bool { return w.key == l.key && w.at.After(l.at) })
+		s.mu.Unlock()
+		if !rewritten && (l.value != nil || current.Key != "" && !current.Removed) {
+			s.put(l.key, l.value)
+		}
+	}
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	clientIP, _, _ := strings.Cut(r.RemoteAddr, ":")
 	s.mu.Lock()
 	outage, rejected, delay := s.outage, s.rejected[clientIP], s.delay
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	s.mu.Unlock()
 	time.Sleep(delay)
 	switch {
@@ -100,7 +156,7 @@
 	wait, _ := strconv.Atoi(r.FormValue("wait_ms"))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.droppedUpTo {
+	if after < s.droppedUpTo || after > s.revision {
 		http.Error(w, "history dropped", http.StatusGone)
 		return
 	}
@@ -113,8 +169,8 @@
 		}
 		s.mu.Lock()
 	}
-	if s.outage != "" {
-		return // an outage began during the watch
+	if s.outage != "" || w.Header().Get("Store-Era") != strconv.FormatUint(s.era, 10) {
+		return // an outage began during the watch, or the store went back
 	}
 	s.write(w, "events", s.since(after, true))
 }
