Keep asking the keeper of a limit after a caller has left

A caller that left while its request waited for a permit ended the call to the keeper, which then counted as failed for a second: the second gateway in the order was asked, which hands out half of the limit. Only a call that failed by itself counts now. TestCallersWhoLeaveWhileTheyWait failed before (the next permit after 2 s instead of 1 s) and passes.

--- a/gateway/peers/permits.go
+++ b/gateway/peers/permits.go
@@ -52,12 +52,14 @@
 }
 
 func (p *Peers) askKeeper(ctx context.Context, keeper string, ask dispatch.Ask) (dispatch.Grant, bool) {
-	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
 	named := dispatch.NamedLimit{Target: ask.Target, StartUnixMilli: ask.StartUnixMilli, Limit: ask.Limit}
 	request, response := permitRequest{Limit: encodeLimit(named, p.clock()), Wait: ask.Wait}, permitResponse{}
-	if err := p.client.Call(ctx, keeper, permitCall, request, &response); err != nil {
-		p.permits.add(keeper, p.clock())
+	if err := p.client.Call(callCtx, keeper, permitCall, request, &response); err != nil {
+		if ctx.Err() == nil { // otherwise the request ended, which says nothing of the keeper
+			p.permits.add(keeper, p.clock())
+		}
 		return dispatch.Grant{}, false
 	}
 	now := p.clock()
--- a/gateway/peers/permits_test.go
+++ b/gateway/peers/permits_test.go
@@ -58,6 +58,32 @@
 	}
 }
 
+// TestCallersWhoLeaveWhileTheyWait guards against a gateway that takes a keeper for failed
+// since a caller left during the call, and asks the second one, which grants half.
+func TestCallersWhoLeaveWhileTheyWait(t *testing.T) {
+	const rate = 1
+	a := startGateway(t, "a", "")
+	gateways := []gateway{a, startGateway(t, "b", a.address)}
+	for _, g := range gateways {
+		eventually(t, "both know each other", func() bool { return len(g.peers.Running()) == 1 })
+	}
+	time.Sleep(3 * time.Second) // until they surely know all keepers
+	ask := dispatch.Ask{Target: "t", Limit: dispatch.Limit{Rate: rate, Named: true, At: time.Now()}}
+	left, leave := context.WithCancel(context.Background())
+	leave()
+	for _, g := range gateways {
+		g.peers.Ask(left, ask)
+	}
+	for _, g := range gateways {
+		for range 3 {
+			g.peers.Ask(context.Background(), ask)
+		}
+		if got := g.peers.Ask(context.Background(), ask); got.Granted || time.Until(got.Next) > time.Second/rate {
+			t.Errorf("granted: %t, the next after %s; want it after %s at most, as the first keeper says", got.Granted, time.Until(got.Next), time.Second/rate)
+		}
+	}
+}
+
 // TestLimitsReachPeers checks that the limit that a target named to one gateway is known to
 // its peers, and to one that starts later, and that its withdrawal is, too.
 func TestLimitsReachPeers(t *testing.T) {
