Hold a gateway for a keeper of limits as long as for running

With some hundred gateways a peer's turn to report comes every few seconds, so that with 3 s some gateways would ask the second keeper although the first runs. TestPermitsOfAllGateways passes.

--- a/gateway/peers/permits.go
+++ b/gateway/peers/permits.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	keeperTimeout    = 3 * time.Second        // a gateway without a report for longer keeps no schedule
+	keeperTimeout    = runningTimeout         // a gateway without a report for longer keeps no schedule
 	permitTimeout    = 100 * time.Millisecond // well above a round trip between failure domains
 	keeperRetryAfter = time.Second            // after a call to a keeper failed, until it is asked again
 	permitRetryAfter = 200 * time.Millisecond // after no keeper answered, until one is asked again
