Take what a peer knows of a later era of the store for all that exists

A gateway that learned of the store's return from a peer which had started since, and so never knew what was lost, kept a lost target for good: the peer has no removal of it to relay. What a listed peer holds of a later era is all that exists in it, so the batch is now complete. TestTargetThatOnlyThisGatewayKnows failed before and passes.

--- a/gateway/peers/era_test.go
+++ b/gateway/peers/era_test.go
@@ -53,3 +53,18 @@
 		})
 	}
 }
+
+// TestTargetThatOnlyThisGatewayKnows guards against an item that the store lost and that
+// stays for good at a gateway which learned of the return from one that never knew the item.
+func TestTargetThatOnlyThisGatewayKnows(t *testing.T) {
+	started := startGateway(t, "started", "")
+	old := startGateway(t, "old", started.address)
+	old.mirror.Apply(follow.Batch{Complete: true, Revision: roster.Revision(1, 32), ReadAt: time.Now().Add(-time.Second), Items: []follow.Item{
+		{Key: "kept", Revision: roster.Revision(1, 5)}, {Key: "lost", Revision: roster.Revision(1, 30)},
+	}})
+	started.mirror.Apply(follow.Batch{Complete: true, Revision: roster.Revision(2, 20), ReadAt: time.Now(), Items: []follow.Item{{Key: "kept", Revision: roster.Revision(2, 5)}}})
+	eventually(t, "the gateway learns that the store lacks the item", func() bool {
+		batch, _ := old.mirror.Since(0)
+		return len(batch.Items) == 2 && !batch.Items[0].Removed && batch.Items[1].Key == "lost" && batch.Items[1].Lost
+	})
+}
--- a/gateway/peers/relay.go
+++ b/gateway/peers/relay.go
@@ -136,7 +136,8 @@
 
 // fetchFrom requests the changes after a revision from one peer. It returns
 // false if the call failed, or if the peer has never listed everything. ReadAt
-// is computed from the time of the request, so that it is never too late.
+// is computed from the time of the request, so that it is never too late. If the
+// peer knows a later era of the store, the batch holds all that exists in it.
 func (p *Peers) fetchFrom(ctx context.Context, address string, after uint64) (follow.Batch, bool) {
 	sentAt := p.clock()
 	var response relayResponse
@@ -144,6 +145,7 @@
 		return follow.Batch{}, false // another peer or the store may supply the changes
 	}
 	batch := follow.Batch{Revision: response.Revision, ReadAt: sentAt.Add(-response.SyncAge)}
+	batch.Complete = after != 0 && roster.Era(response.Revision) > roster.Era(after)
 	for _, it := range response.Items {
 		decoded, err := decode(it)
 		if err != nil {
