--- a/core/dispatch/held.go
+++ b/core/dispatch/held.go
@@ -76,7 +76,13 @@
 	if !limited {
 		return refusal.New(refusal.Busy, refusal.No, "all targets of the service asked for a pause; try again after it").WithRetry(first.Sub(now)), true
 	}
-	// Callers who all return at the next permit would be refused again.
-	retry := max(first.Sub(now), a.RetryAfter(now))
-	return refusal.New(refusal.Busy, refusal.No, "the targets of the service are at the limits that they name; try again later").WithRetry(retry), true
+	return a.AtLimits(first, now), true
+}
+
+// AtLimits returns the refusal of a request whose targets are at the limits that they
+// name, the first of them until a given time; zero if that is not known. Callers who all
+// returned at the next permit would be refused again.
+func (a Admission) AtLimits(until, now time.Time) refusal.Refusal {
+	retry := max(until.Sub(now), a.RetryAfter(now))
+	return refusal.New(refusal.Busy, refusal.No, "the targets of the service are at the limits that they name; try again later").WithRetry(retry)
 }
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -104,7 +104,7 @@
 	cursor      int                   // position in the rotation of peers; owned by run
 
 	startedAt time.Time
-	permits   failedKeepers // has its own lock
+	failed    failedKeepers // has its own lock
 
 	fetching   sync.Mutex // held while syncFrom fetches, so that it fetches from one peer at a time
 	compressor compressor // has its own lock
--- a/gateway/peers/permits.go
+++ b/gateway/peers/permits.go
@@ -41,7 +41,7 @@
 		if keeper == p.address {
 			return p.grant(ctx, ask)
 		}
-		if p.permits.failedRecently(keeper, p.clock()) {
+		if p.failed.failedRecently(keeper, p.clock()) {
 			continue
 		}
 		if grant, answered := p.askKeeper(ctx, keeper, ask); answered {
@@ -58,7 +58,7 @@
 	request, response := permitRequest{Limit: encodeLimit(named, p.clock()), Wait: ask.Wait}, permitResponse{}
 	if err := p.client.Call(callCtx, keeper, permitCall, request, &response); err != nil {
 		if ctx.Err() == nil { // otherwise the request ended, which says nothing of the keeper
-			p.permits.add(keeper, p.clock())
+			p.failed.add(keeper, p.clock())
 		}
 		return dispatch.Grant{}, false
 	}
--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -319,7 +319,7 @@
 // logFailure logs and counts a failed attempt. how is its kind in the metrics.
 func (d *delivery) logFailure(how string, err error, pairs ...any) {
 	d.service.meter.Inc("attempts", how)
-	pairs = append([]any{"request", d.request.ID, "target", d.target.ID, "how", how, "revision", d.target.Revision}, pairs...)
+	pairs = append([]any{"request", d.request.ID, "target", d.target.ID, "how", how, "revision", roster.Number(d.target.Revision)}, pairs...)
 	if err != nil && !errors.Is(err, ErrNotSent) {
 		pairs = append(pairs, "closed", d.closed, "head", d.headReceived, "events", d.events, "parts", strings.Join(d.request.Parts, ","))
 	}
--- a/gateway/serve/service.go
+++ b/gateway/serve/service.go
@@ -178,7 +178,7 @@
 // choice is the result of choosing a target.
 type choice struct {
 	target  roster.Target
-	ask     *dispatch.Ask // set if the request needs a permit before it may be sent
+	ask     *dispatch.Ask // set if the request needs a permit before it may be sent; refused is then its refusal without one
 	refused *refusal.Refusal
 }
 
@@ -193,7 +193,8 @@
 			return chosen, choice{refused: refused}
 		}
 		if ask, needed := state.Ask(a, target, now); needed {
-			return state, choice{ask: &ask, refused: atLimit(a, now)}
+			r := a.AtLimits(time.Time{}, now)
+			return state, choice{ask: &ask, refused: &r}
 		}
 		s.beforeSend.Raise()
 		return chosen, choice{target: target}
@@ -204,12 +205,6 @@
 	return c
 }
 
-// atLimit returns the refusal of a request that got none of the permits that it asked for.
-func atLimit(a dispatch.Admission, now time.Time) *refusal.Refusal {
-	r := refusal.New(refusal.Busy, refusal.No, "the targets of the service are at the limits that they name; try again later").WithRetry(a.RetryAfter(now))
-	return &r
-}
-
 // takeRetry takes a retry from the service's budget and reports whether the budget
 // allows it.
 func (s *Service) takeRetry(ctx context.Context, service string) bool {
