Let a caller who leaves hold back no target with a limit

A caller that left while its request asked for a permit was answered without one, and the gateway took that for the keeper's word on when the target may get another request: it got none from this gateway for 0.2 s. TestCallersWhoLeaveHoldNoTarget failed before and passes.

--- a/gateway/serve/permits.go
+++ b/gateway/serve/permits.go
@@ -32,6 +32,9 @@
 // target for which it got one, or "".
 func (s *Service) takePermit(ctx context.Context, ask dispatch.Ask) string {
 	grant := s.permits.Ask(ctx, ask)
+	if !grant.Granted && ctx.Err() != nil {
+		return "" // the request ended, which says nothing of the target
+	}
 	s.Change(func(state dispatch.State, now time.Time) dispatch.State {
 		return state.WithNextPermit(ask.Target, grant.Next, now)
 	})
--- a/gateway/serve/permits_test.go
+++ b/gateway/serve/permits_test.go
@@ -72,6 +72,46 @@
 	}
 }
 
+type lowest struct{}
+
+func (lowest) IntN(int) int { return 0 }
+
+// permitsAfter has the caller leave during each ask, which grants nothing.
+type permitsAfter struct {
+	leave func()
+}
+
+func (p permitsAfter) Ask(context.Context, dispatch.Ask) dispatch.Grant {
+	p.leave()
+	return dispatch.Grant{Next: time.Now().Add(20 * time.Second)}
+}
+
+// TestCallersWhoLeaveHoldNoTarget guards against a target that gets no requests since a
+// caller left while its request asked for a permit.
+func TestCallersWhoLeaveHoldNoTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := &scriptedTargets{script: []step{answer("id: 1\n\n")}}
+		ctx, leave := context.WithCancel(t.Context())
+		service := serve.New(newState(), fake, discard{}, discard{}, serve.WithPermits(permitsAfter{leave: leave}))
+		defer service.Close()
+		for _, target := range service.State().Roster.Targets() {
+			service.Change(func(s dispatch.State, now time.Time) dispatch.State { return s.WithLimit(target, 0.5, now) })
+		}
+		synctest.Wait()
+		service.Serve(ctx, serve.Request{ID: "r", Host: "h", Path: "/stream/", Key: "k"}, &caller{})
+		synctest.Wait()
+		var tried []string
+		a := dispatch.Admission{Service: "s", Deadline: time.Now().Add(time.Second)}
+		for range service.State().Roster.Targets() {
+			_, target, refused := service.State().Choose(a, tried, lowest{}, time.Now())
+			if refused != nil {
+				t.Fatalf("after %q no target gets requests: %v", tried, refused)
+			}
+			tried = append(tried, target.ID)
+		}
+	})
+}
+
 // TestLimitNamedInAnyAnswer checks that a limit holds from the first answer that names it,
 // also an error or a refusal, until a later answer of the target names none.
 func TestLimitNamedInAnyAnswer(t *testing.T) {
