Log the parts of the prompt of each request, and its own part

Whether a shared part or the request itself crashes targets could not be told: failed attempts had the shared parts alone, and answered requests none. No decision is changed.

--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -36,6 +36,7 @@
 	Timeout     time.Duration // Timeout is how long the caller waits; 0 means no limit.
 	LastEventID string        // LastEventID is the ID of the last event that the caller received; empty for none.
 	Parts       []string      // Parts are the IDs of the parts of the prompt that other requests may share, in order.
+	OwnPart     string        // OwnPart is the ID of the part of the prompt that belongs to the request or its session; empty for none.
 }
 
 // Outcome is the result of a request. If Refusal is nil, the caller received a
@@ -321,7 +322,7 @@
 	d.service.meter.Inc("attempts", how)
 	pairs = append([]any{"request", d.request.ID, "target", d.target.ID, "how", how, "revision", roster.Number(d.target.Revision)}, pairs...)
 	if err != nil && !errors.Is(err, ErrNotSent) {
-		pairs = append(pairs, "closed", d.closed, "head", d.headReceived, "events", d.events, "parts", strings.Join(d.request.Parts, ","))
+		pairs = append(pairs, "closed", d.closed, "head", d.headReceived, "events", d.events, "parts", strings.Join(d.request.Parts, ","), "own", d.request.OwnPart)
 	}
 	if err != nil {
 		pairs = append(pairs, "error", err.Error())
@@ -346,8 +347,8 @@
 	if o.Refusal != nil {
 		pairs = append(pairs, "retry", o.Refusal.RetryAfter, "remedy", o.Refusal.Remedy)
 	}
-	if o.Refusal != nil && o.Refusal.Kind == refusal.Quarantined {
-		pairs = append(pairs, "parts", strings.Join(d.request.Parts, ","))
+	if len(d.request.Parts) > 0 || d.request.OwnPart != "" {
+		pairs = append(pairs, "parts", strings.Join(d.request.Parts, ","), "own", d.request.OwnPart)
 	}
 	d.service.journal.Event("request", pairs...)
 	if d.longestGap > 0 {
