Fetch only what changed from a peer that is ahead

Since values have versions that peers report, each new version of the configuration made a gateway that learned of it from a peer fetch all items instead of the changes. Only a peer that isn't ahead is now asked for all items, and only values with a version are taken from it. The tests of peers pass.

--- a/gateway/peers/relay.go
+++ b/gateway/peers/relay.go
@@ -42,22 +42,16 @@
 	laterEra := roster.Era(r.Revision) > roster.Era(revision)
 	ahead := r.Listed && (laterEra || r.Revision >= revision && peerSyncedAt.After(syncedAt))
 	switch {
-	case r.Listed && r.Version > p.inbox.Mirror().Version():
-		p.fetchAndApply(address, 0, func(b follow.Batch) follow.Batch {
-			if ahead {
-				return b
-			}
-			return b.Versioned()
-		})
-	case !ahead:
-	case r.Revision == revision:
-		p.inbox.Apply(follow.Batch{Revision: revision, ReadAt: peerSyncedAt})
-		p.clearBehind()
-	default:
+	case ahead && r.Revision != revision:
 		p.fetchAndApply(address, p.inbox.Mirror().Revision(), func(b follow.Batch) follow.Batch {
 			p.clearBehind()
 			return b
 		})
+	case r.Listed && r.Version > p.inbox.Mirror().Version():
+		p.fetchAndApply(address, 0, follow.Batch.Versioned)
+	case ahead:
+		p.inbox.Apply(follow.Batch{Revision: revision, ReadAt: peerSyncedAt})
+		p.clearBehind()
 	}
 }
 
