Believe the end of an answer without a length only with a proof

Cause: the check that the target still runs was left out for targets that leave. The class is an end that is believed without evidence. It also held for targets that couldn't be reached when asked, for the next process at the same address, and for what gateways and entry instances break off themselves towards callers that speak HTTP/1.0. In turn, the last answer of a target that began to leave during it was called broken off.

Change: an end counts if the process still runs, by its idle connections, a new one, or its start time, or if it leaves and its entry is removed within a second. Otherwise the request is repeated or resumed where that is allowed, and broken off where not.

--- a/adapter/pool/pool.go
+++ b/adapter/pool/pool.go
@@ -13,7 +13,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,7 +24,6 @@
 )
 
 const (
-	closeWait        = 20 * time.Millisecond  // by then a proxy has found that no process listens behind it
 	dialTimeout      = 700 * time.Millisecond // shorter than the 1 s after which a lost SYN is sent again: trying another target is faster
 	idleTimeout      = 4 * time.Second        // for targets that send no timeout in Keep-Alive
 	idleMargin       = time.Second            // an idle connection expires this long before the timeout that its target sent
@@ -76,6 +74,7 @@
 	limited   *limitedReader // reads raw
 	reader    *bufio.Reader  // reads limited
 	expiresAt time.Time      // when the pool stops reusing the connection
+	idleSince time.Time
 }
 
 // Get returns an idle connection or a new one. An error means that no connection
@@ -105,25 +104,6 @@
 	return &Conn{pool: p, address: address, raw: raw, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}, nil
 }
 
-// Refused reports whether a new connection to the address is refused, since no process
-// listens there, or closed at once, as by a proxy before such a process. A connection
-// that stays open is kept for a request.
-func (p *Pool) Refused(ctx context.Context, address string) bool {
-	c, err := p.dial(ctx, address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	_ = c.raw.SetReadDeadline(time.Now().Add(closeWait))
-	_, err = c.reader.Peek(1)
-	_ = c.raw.SetReadDeadline(time.Time{})
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
-		_ = c.raw.Close()
-		return err != nil
-	}
-	c.Release(nil)
-	return false
-}
-
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var optionErr error
 	err := c.Control(func(fd uintptr) {
@@ -156,7 +136,8 @@
 	if keepAlive, found := keepAliveTimeout(head); found {
 		timeout = keepAlive - idleMargin
 	}
-	c.expiresAt = time.Now().Add(timeout)
+	c.idleSince = time.Now()
+	c.expiresAt = c.idleSince.Add(timeout)
 	p := c.pool
 	p.mu.Lock()
 	keep := !p.closed && timeout > 0 && len(p.idle[c.address]) < maxIdlePerTarget
--- a/adapter/socket/socket.go
+++ b/adapter/socket/socket.go
@@ -5,6 +5,7 @@
 
 import (
 	"net"
+	"net/http"
 
 	"github.com/gravitational/trace"
 )
@@ -31,6 +32,26 @@
 	}
 }
 
+// Break ends an answer of which a part was sent, so that it doesn't look whole. It never
+// returns. A caller that speaks HTTP/1.0 takes the end of its connection for the end of the
+// answer, so its connection is reset; others miss the last chunk.
+func Break(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			reset(conn)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset closes a connection so that its other end gets an error in place of the end.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed
+	}
+	_ = conn.Close()
+}
+
 type boundedListener struct {
 	net.Listener
 }
--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -91,21 +90,21 @@
 	if err := copyAnswer(ctx, response.Body, sink); err != nil {
 		return err
 	}
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && c.isGone(ctx, request.URL.Host) {
-		return trace.ConnectionProblem(nil, "the answer ended with its connection, and the target no longer runs")
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !c.isRunning(ctx, request.URL.Host) {
+		return trace.ConnectionProblem(nil, "the answer ended with its connection, and nothing shows that the target still runs")
 	}
 	return nil
 }
 
-// isGone reports whether a new connection to the target is refused. A target that crashes
-// ends its connections, and with them an answer that has no end of its own.
-func (c *Client) isGone(ctx context.Context, address string) bool {
+// isRunning reports whether the target accepts a new connection. A target that crashes ends
+// its connections, and with them an answer that has no end of its own.
+func (c *Client) isRunning(ctx context.Context, address string) bool {
 	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return false
 	}
 	_ = conn.Close()
-	return false
+	return true
 }
 
 func copyAnswer(ctx context.Context, body io.Reader, sink serve.Sink) error {
--- a/core/dispatch/statement.go
+++ b/core/dispatch/statement.go
@@ -81,6 +81,13 @@
 	return !at.IsZero() && s.SyncedAt.Sub(at) <= leavingTimeout
 }
 
+// Departing reports whether the target leaves or has left: it said so in an answer, the
+// platform lists it as leaving, or no longer lists it.
+func (s State) Departing(t roster.Target) bool {
+	listed, found := s.Roster.Target(t.ID)
+	return !found || listed.Leaving || s.SaidLeaving(t)
+}
+
 // departing returns the targets of a service that get no new work since they said that
 // they leave. If all of them said so, those that the platform still lists as ready after
 // leavingDoubted get work: a fault of the targets must not take the service away.
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -123,10 +123,8 @@
 		s.meter.Inc("answers", "whole")
 		out.setLengthTrailer()
 	case outcome.HeadSent:
-		// The head was sent already, so the connection is cut to show the caller
-		// that the answer is not whole.
 		s.meter.Inc("answers", "cut")
-		panic(http.ErrAbortHandler)
+		socket.Break(w, r)
 	default:
 		s.refuse(w, *outcome.Refusal, outcome.Ticket)
 	}
--- a/gateway/serve/crash_test.go
+++ b/gateway/serve/crash_test.go
@@ -16,8 +16,8 @@
 // crashedTargets are scripted targets of which a process that closed a connection is gone.
 type crashedTargets struct{ scriptedTargets }
 
-// Gone implements serve.Targets.
-func (t *crashedTargets) Gone(context.Context, string) bool { return true }
+// Presence implements serve.Targets.
+func (t *crashedTargets) Presence(context.Context, string, int64) serve.Presence { return serve.Gone }
 
 // TestRepeatOfCrash guards against a gateway that carries a request that crashed a target
 // on to the next one.
--- a/gateway/serve/port.go
+++ b/gateway/serve/port.go
@@ -75,11 +75,21 @@
 type Targets interface {
 	// Send sends a call once and returns when the head of the answer has arrived.
 	Send(ctx context.Context, call Call) (Reply, error)
-	// Gone reports whether connections to an address are refused, since no process
-	// listens there. It sends nothing.
-	Gone(ctx context.Context, address string) bool
+	// Presence reports whether the process of a target still runs, from its connections and
+	// its start time in Unix milliseconds; 0 if that is not known. It sends no request of a caller.
+	Presence(ctx context.Context, address string, startUnixMilli int64) Presence
 }
 
+// Presence is what is known of a target's process.
+type Presence int
+
+// The values of Presence.
+const (
+	PresenceUnknown Presence = iota // the target can't be reached, or a process runs that may be another
+	Present                         // the process runs
+	Gone                            // the process has ended; another may run at its address
+)
+
 // Writer writes an answer to a caller. An error means that the caller has
 // disconnected or has stopped reading.
 type Writer interface {
--- a/gateway/serve/reader_test.go
+++ b/gateway/serve/reader_test.go
@@ -31,8 +31,10 @@
 	return &endlessReply{ctx: ctx, source: e}, nil
 }
 
-// Gone reports the target as running.
-func (e *endlessTargets) Gone(context.Context, string) bool { return false }
+// Presence reports the target as running.
+func (e *endlessTargets) Presence(context.Context, string, int64) serve.Presence {
+	return serve.Present
+}
 
 type endlessReply struct {
 	ctx    context.Context
--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -186,13 +186,14 @@
 // canRetry reports whether another attempt may follow. After an attempt that was
 // not sent, it takes nothing from the retry budget.
 func (d *delivery) canRetry(ctx context.Context, attempt retry.Attempt) bool {
-	if len(d.triedTargets) >= maxAttempts || d.possibleRuns >= max(1, d.admission.Route.Attempts) {
-		return false
-	}
-	if d.admission.Deadline.Sub(d.service.clock()) < minAttemptTime {
-		return false
-	}
-	return attempt.End == retry.NotSent || d.service.takeRetry(ctx, d.admission.Service)
+	return d.mayRetry() && (attempt.End == retry.NotSent || d.service.takeRetry(ctx, d.admission.Service))
+}
+
+// mayRetry reports whether another attempt may follow as far as the number of attempts and
+// the time left are concerned.
+func (d *delivery) mayRetry() bool {
+	return len(d.triedTargets) < maxAttempts && d.possibleRuns < max(1, d.admission.Route.Attempts) &&
+		d.admission.Deadline.Sub(d.service.clock()) >= minAttemptTime
 }
 
 // refusalForContext returns the refusal of a request whose context is done: its
@@ -246,16 +247,16 @@
 	}
 	defer reply.Close()
 	d.service.recordResponse(d.target.ID)
-	return d.receive(reply, wd)
+	return d.receive(ctx, reply, wd)
 }
 
 // receive handles the answer of the current attempt, of which the head has arrived.
-func (d *delivery) receive(reply Reply, wd *watchdog) (retry.Attempt, bool) {
+func (d *delivery) receive(ctx context.Context, reply Reply, wd *watchdog) (retry.Attempt, bool) {
 	d.headReceived = true
 	head := reply.Head()
 	d.service.recordStatements(d.target, head)
-	if head.Unframed && !head.Leaving { // a target that leaves may end right after its last answer
-		reply = unframedReply{Reply: reply, gone: func() bool { return d.service.isGone(d.target) }}
+	if head.Unframed {
+		reply = unframedReply{Reply: reply, prove: func() error { return d.proveEnd(ctx, head) }}
 	}
 	switch {
 	case head.NotRun:
--- a/gateway/serve/serve_test.go
+++ b/gateway/serve/serve_test.go
@@ -67,8 +67,10 @@
 	return &reply{ctx: ctx, step: next}, nil
 }
 
-// Gone reports a target as running: the scripts break single connections.
-func (t *scriptedTargets) Gone(context.Context, string) bool { return false }
+// Presence reports a target as running: the scripts break single connections.
+func (t *scriptedTargets) Presence(context.Context, string, int64) serve.Presence {
+	return serve.Present
+}
 
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d == 0 {
--- a/gateway/serve/service.go
+++ b/gateway/serve/service.go
@@ -21,7 +21,7 @@
 	"hornbeamtray/core/roster"
 )
 
-const goneTimeout = 200 * time.Millisecond // a refused connection takes one round trip
+const presenceTimeout = 200 * time.Millisecond // a refused connection takes one round trip
 
 // Service handles the requests of callers.
 type Service struct {
@@ -239,7 +239,7 @@
 	if len(parts) == 0 || progress >= quarantine.UnderWay || s.State().Proven(parts) {
 		return
 	}
-	if !s.isGone(target) {
+	if s.presence(target) != Gone {
 		return
 	}
 	s.meter.Inc("crashes", "suspected")
@@ -249,11 +249,11 @@
 	})
 }
 
-// isGone reports whether no process runs at a target's address.
-func (s *Service) isGone(target roster.Target) bool {
-	ctx, cancel := context.WithTimeout(s.abortContext, goneTimeout)
+// presence returns whether the process of a target still runs.
+func (s *Service) presence(target roster.Target) Presence {
+	ctx, cancel := context.WithTimeout(s.abortContext, presenceTimeout)
 	defer cancel()
-	return s.targets.Gone(ctx, target.Address)
+	return s.targets.Presence(ctx, target.Address, target.StartUnixMilli)
 }
 
 // recordReplaced records that another process answered at a target's address.
