Tell a failed read of the store from an outage of it

Cause: one failed call counted as an outage of the store, in which entries of running targets expire, so the removal was taken for a lapse; each further failure started the period anew. Answers that can't be used (429, an earlier era, unparsable) counted as outages as well.

Change: a failed read is repeated at once without waiting for changes; the store is lost after three failures over at least 150 ms, or a read without an answer. Gateways report when their last read began and ended, and one that overlaps the failures of another contradicts its outage. An outage that others report ends as soon as one of them contradicts it.

In TestServing the calls have times now; its rows are as they were, with eight more.

--- a/core/dispatch/update.go
+++ b/core/dispatch/update.go
@@ -83,23 +83,39 @@
 	return s
 }
 
-// WithStore returns the state after the platform's store became reachable or
-// unreachable. The cause is recorded in the trail.
-func (s State) WithStore(reached bool, cause string, now time.Time) State {
-	if reached {
-		s.Roster = s.Roster.WithStoreRegained(now)
-		s.Trail = s.Trail.With(now, "store", cause, "lost", "regained")
-		return s
+// WithStoreLost returns the state after all reads of the platform's store have failed since
+// a time. The last of them began at failedAt.
+func (s State) WithStoreLost(since, failedAt, now time.Time) State {
+	if !s.Roster.SawOutage() {
+		s.Trail = s.Trail.With(now, "store", "it can't be read", "reached", "lost")
 	}
-	s.Roster = s.Roster.WithStoreLost()
-	s.Trail = s.Trail.With(now, "store", cause, "reached", "lost")
+	s.Roster = s.Roster.WithStoreLost(since, failedAt)
+	return s
+}
+
+// WithStoreRegained returns the state after the platform's store was read again.
+func (s State) WithStoreRegained(now time.Time) State {
+	s.Roster = s.Roster.WithStoreRegained(now)
+	s.Trail = s.Trail.With(now, "store", "it was read again", "lost", "regained")
 	return s
 }
 
-// WithStoreOutage returns the state after other gateways reported an outage of the
-// store that lasted until the given time.
-func (s State) WithStoreOutage(until time.Time) State {
-	s.Roster = s.Roster.WithStoreOutage(until)
+// WithStoreRead returns the state after another gateway read the platform's store, from the
+// one time to the other. Targets that were kept for an outage which that contradicts get no
+// more work.
+func (s State) WithStoreRead(from, until, now time.Time) State {
+	r := s.Roster.WithStoreRead(from, until, now)
+	if s.Roster.SawOutage() == r.SawOutage() {
+		return s
+	}
+	s.Trail = s.Trail.With(now, "store", "another gateway read it meanwhile", "lost", "reached by others")
+	return s.recordTargetChanges(r, now).WithRoster(r, now)
+}
+
+// WithOthersOutage returns the state after all other gateways that read the store reported
+// an outage that lasted until the given time, or none if that is zero.
+func (s State) WithOthersOutage(until time.Time) State {
+	s.Roster = s.Roster.WithOthersOutage(until)
 	return s
 }
 
--- a/core/roster/doubt.go
+++ b/core/roster/doubt.go
@@ -28,9 +28,6 @@
 	}
 	if known := r.targets.Len() > 0 || len(r.removed) > 0; known {
 		r.eraSince = now
-		if now.After(r.storeRegained) {
-			r.storeRegained = now
-		}
 	}
 	r.era = era
 	return r
@@ -96,7 +93,7 @@
 // withoutOldDoubts returns the roster after the entries that are still in doubt at the end
 // of their times came into force. None does while the store is lost.
 func (r Roster) withoutOldDoubts(now time.Time) Roster {
-	if r.storeLost {
+	if r.storeLost() {
 		return r
 	}
 	for id, t := range r.doubted {
--- a/core/roster/doubt_test.go
+++ b/core/roster/doubt_test.go
@@ -48,7 +48,7 @@
 			return whole(r, 0).WithTarget(copied("c", "1.1.1.1:3", 6)).WithTarget(copied("d", "1.1.1.1:4", 7))
 		}, 10, "a b c d e f"},
 		{"it stands for long", func(r roster.Roster) roster.Roster { return whole(r, 0) }, 5100, "a b c d e"},
-		{"it stands for long, but the store is lost", func(r roster.Roster) roster.Roster { return whole(r, 0).WithStoreLost() }, 5100, "a b e f"},
+		{"it stands for long, but the store is lost", func(r roster.Roster) roster.Roster { return whole(r, 0).WithStoreLost(at(0), at(0)) }, 5100, "a b e f"},
 		{"what left in between expires", func(r roster.Roster) roster.Roster {
 			return whole(r, 0).WithRemoved("c", in(10), at(3600)).WithRemoved("d", in(11), at(3600))
 		}, 5100, "a b e"},
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -33,14 +33,16 @@
 // Roster holds the targets and evacuations that the platform lists. Use New; the
 // zero value is not usable.
 type Roster struct {
-	targets       *immutable.SortedMap[string, Target]
-	occupants     *immutable.Map[string, string] // ID of the target at each address: the one whose process started last
-	removed       map[string]uint64              // revision of the last removal, by target; never written after construction
-	lapsed        map[string]time.Time           // end of the grace period, by lapsed target, see WithRemoved; never written after construction
-	evacuated     map[string]uint64              // revision of the last evacuation, by domain; never written after construction
-	restored      map[string]uint64              // revision of the last end of an evacuation, by domain; never written after construction
-	storeLost     bool                           // the store can't be read
-	storeRegained time.Time                      // end of the last known outage of the store
+	targets        *immutable.SortedMap[string, Target]
+	occupants      *immutable.Map[string, string] // ID of the target at each address: the one whose process started last
+	removed        map[string]uint64              // revision of the last removal, by target; never written after construction
+	lapsed         map[string]bool                // lapsed targets, see WithRemoved; never written after construction
+	evacuated      map[string]uint64              // revision of the last evacuation, by domain; never written after construction
+	restored       map[string]uint64              // revision of the last end of an evacuation, by domain; never written after construction
+	outages        []outage                       // of the store, as this instance saw them, the latest last; never written after construction
+	readByOthers   time.Time                      // when a read of another instance ended that contradicts an outage
+	contradictedAt time.Time                      // when that became known
+	othersOutage   time.Time                      // end of the last outage that all other instances saw; zero for none
 
 	era            uint64                 // latest era of the store that is known
 	eraSince       time.Time              // when the era was first known; zero for the first era
@@ -77,7 +79,7 @@
 	if id, found := r.occupants.Get(t.Address); t.Address != "" && (!found || id == t.ID || r.startedLast(t, id)) {
 		r.occupants = r.occupants.Set(t.Address, t.ID)
 	}
-	if _, found := r.lapsed[t.ID]; found {
+	if r.lapsed[t.ID] {
 		r.lapsed = withoutEntry(r.lapsed, t.ID)
 	}
 	return r
@@ -127,7 +129,8 @@
 // store, unless a newer entry or removal of it is known. The entry of a running
 // target may expire during an outage of the store and is listed again within
 // relistGrace after the outage ended. A target removed during the outage or in
-// that period is lapsed: it may get work until the period is over.
+// that period is lapsed: it may get work until the period is over, or until it
+// turns out that there was no outage.
 func (r Roster) WithRemoved(id string, revision uint64, now time.Time) Roster {
 	known, found := r.targets.Get(id)
 	if found && known.Revision >= revision || r.removed[id] >= revision {
@@ -138,8 +141,8 @@
 	if !found {
 		return r
 	}
-	if until := r.storeRegained.Add(relistGrace); r.storeLost || now.Before(until) {
-		r.lapsed = withEntry(r.lapsed, id, until)
+	if r.awaitsEntries(now) {
+		r.lapsed = withEntry(r.lapsed, id, true)
 		return r
 	}
 	return r.without(id)
@@ -194,42 +197,14 @@
 	return r
 }
 
-// WithStoreLost returns the roster after the store became unreadable.
-func (r Roster) WithStoreLost() Roster {
-	r.storeLost = true
-	return r
-}
-
-// WithStoreRegained returns the roster after the store became readable again. It
-// restarts the grace period of all lapsed targets.
-func (r Roster) WithStoreRegained(now time.Time) Roster {
-	if r.storeLost {
-		r.storeLost, r.storeRegained = false, now
-		r.lapsed = maps.Clone(r.lapsed)
-		for id := range r.lapsed {
-			r.lapsed[id] = now.Add(relistGrace)
-		}
-	}
-	return r
-}
-
-// WithStoreOutage returns the roster after other instances observed an outage of
-// the store that ended at until, which must not be in the future.
-func (r Roster) WithStoreOutage(until time.Time) Roster {
-	if until.After(r.storeRegained) {
-		r.storeRegained = until
-	}
-	return r
-}
-
 // Swept returns the roster without the lapsed targets whose grace period is over.
 // It removes none while the store is lost.
 func (r Roster) Swept(now time.Time) Roster {
-	for id, until := range r.lapsed {
-		if !r.storeLost && !now.Before(until) {
-			r.lapsed = withoutEntry(r.lapsed, id)
+	if !r.awaitsEntries(now) {
+		for id := range r.lapsed {
 			r = r.without(id)
 		}
+		r.lapsed = nil
 	}
 	return r.withoutOldDoubts(now)
 }
@@ -273,8 +248,7 @@
 	if id, found := r.occupants.Get(t.Address); found && id != t.ID {
 		return false
 	}
-	until, lapsed := r.lapsed[t.ID]
-	return !lapsed || r.storeLost || now.Before(until)
+	return !r.lapsed[t.ID] || r.awaitsEntries(now)
 }
 
 func withEntry[V any](m map[string]V, key string, value V) map[string]V {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -54,29 +54,54 @@
 		{"taken back", func(r roster.Roster) roster.Roster { return r.WithEvacuated("d", true, 3).WithEvacuated("d", false, 4) }, 0, "a b"},
 		{"a late evacuation changes nothing", func(r roster.Roster) roster.Roster { return r.WithEvacuated("d", false, 4).WithEvacuated("d", true, 3) }, 0, "a b"},
 		{"removed while the store is away", func(r roster.Roster) roster.Roster {
-			return r.WithStoreLost().WithRemoved("a", 3, at(0))
+			return r.WithStoreLost(at(-900), at(-100)).WithRemoved("a", 3, at(0))
 		}, 60_000, "a b"},
 		{"lapsed, soon after the return", func(r roster.Roster) roster.Roster {
-			return r.WithStoreLost().WithStoreRegained(at(0)).WithRemoved("a", 3, at(100))
+			return r.WithStoreLost(at(-900), at(-100)).WithStoreRegained(at(0)).WithRemoved("a", 3, at(100))
 		}, 2200, "a b"},
 		{"lapsed, missing for too long", func(r roster.Roster) roster.Roster {
-			return r.WithStoreLost().WithStoreRegained(at(0)).WithRemoved("a", 3, at(100))
+			return r.WithStoreLost(at(-900), at(-100)).WithStoreRegained(at(0)).WithRemoved("a", 3, at(100))
 		}, 2400, "b"},
 		{"lapsed and back", func(r roster.Roster) roster.Roster {
-			return r.WithStoreLost().WithStoreRegained(at(0)).WithRemoved("a", 3, at(100)).WithTarget(target("a", 4, false))
+			return r.WithStoreLost(at(-900), at(-100)).WithStoreRegained(at(0)).WithRemoved("a", 3, at(100)).WithTarget(target("a", 4, false))
 		}, 2400, "a b"},
 		{"removed long after the return", func(r roster.Roster) roster.Roster {
-			return r.WithStoreLost().WithStoreRegained(at(0)).WithRemoved("a", 3, at(5000))
+			return r.WithStoreLost(at(-900), at(-100)).WithStoreRegained(at(0)).WithRemoved("a", 3, at(5000))
 		}, 5000, "b"},
 		{"lapsed in an outage that others saw", func(r roster.Roster) roster.Roster {
-			return r.WithStoreOutage(at(0)).WithRemoved("a", 3, at(100))
+			return r.WithOthersOutage(at(0)).WithRemoved("a", 3, at(100))
 		}, 2200, "a b"},
 		{"missing for too long after an outage that others saw", func(r roster.Roster) roster.Roster {
-			return r.WithStoreOutage(at(0)).WithRemoved("a", 3, at(100))
+			return r.WithOthersOutage(at(0)).WithRemoved("a", 3, at(100))
 		}, 2400, "b"},
 		{"an older outage that others saw changes nothing", func(r roster.Roster) roster.Roster {
-			return r.WithStoreLost().WithStoreRegained(at(0)).WithStoreOutage(at(-9000)).WithRemoved("a", 3, at(100))
+			return r.WithStoreLost(at(-900), at(-100)).WithStoreRegained(at(0)).WithOthersOutage(at(-9000)).WithRemoved("a", 3, at(100))
 		}, 2200, "a b"},
+		{"removed while reads fail that succeed elsewhere", func(r roster.Roster) roster.Roster {
+			return r.WithStoreLost(at(-900), at(-100)).WithRemoved("a", 3, at(0)).WithStoreRead(at(-1000), at(-800), at(0))
+		}, 0, "b"},
+		{"removed after reads failed that succeeded elsewhere", func(r roster.Roster) roster.Roster {
+			return r.WithStoreLost(at(-900), at(-100)).WithStoreRegained(at(0)).WithStoreRead(at(-500), at(-400), at(0)).WithRemoved("a", 3, at(100))
+		}, 100, "b"},
+		{"it becomes known later", func(r roster.Roster) roster.Roster {
+			return r.WithStoreLost(at(-900), at(-100)).WithStoreRegained(at(0)).WithRemoved("a", 3, at(100)).WithStoreRead(at(-200), at(300), at(400))
+		}, 400, "b"},
+		{"others read the store before and after", func(r roster.Roster) roster.Roster {
+			return r.WithStoreLost(at(-900), at(-100)).WithStoreRegained(at(0)).WithStoreRead(at(-1500), at(-950), at(0)).WithStoreRead(at(-50), at(0), at(0)).WithRemoved("a", 3, at(100))
+		}, 2200, "a b"},
+		{"an outage after reads that succeeded elsewhere", func(r roster.Roster) roster.Roster {
+			return r.WithStoreLost(at(-900), at(-800)).WithStoreRead(at(-870), at(-850), at(0)).WithStoreLost(at(-900), at(-100)).WithRemoved("a", 3, at(0))
+		}, 60_000, "a b"},
+		{"reads that fail at one instance start no grace period anew", func(r roster.Roster) roster.Roster {
+			return r.WithStoreLost(at(-900), at(-100)).WithStoreRegained(at(0)).WithRemoved("a", 3, at(0)).
+				WithStoreLost(at(1000), at(1200)).WithStoreRegained(at(1300)).WithStoreRead(at(900), at(1100), at(1500))
+		}, 2400, "b"},
+		{"a second outage starts it anew", func(r roster.Roster) roster.Roster {
+			return r.WithStoreLost(at(-900), at(-100)).WithStoreRegained(at(0)).WithRemoved("a", 3, at(0)).WithStoreLost(at(1000), at(1200)).WithStoreRegained(at(1300))
+		}, 3500, "a b"},
+		{"an outage that others saw and then contradicted", func(r roster.Roster) roster.Roster {
+			return r.WithOthersOutage(at(0)).WithRemoved("a", 3, at(100)).WithOthersOutage(time.Time{})
+		}, 200, "b"},
 		{"missing in a whole listing", func(r roster.Roster) roster.Roster {
 			return r.WithFullListing(map[string]bool{"b": true}, 9, at(0))
 		}, 0, "b"},
@@ -118,7 +143,7 @@
 }
 
 func TestSwept(t *testing.T) {
-	r := roster.New().WithTarget(target("a", 1, false)).WithStoreLost().WithStoreRegained(at(0)).WithRemoved("a", 3, at(0))
+	r := roster.New().WithTarget(target("a", 1, false)).WithStoreLost(at(-900), at(-100)).WithStoreRegained(at(0)).WithRemoved("a", 3, at(0))
 	if got := len(r.Swept(at(2000)).Targets()); got != 1 {
 		t.Errorf("%d targets during the grace period, want 1", got)
 	}
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -28,6 +29,16 @@
 	readersCheckInterval = 200 * time.Millisecond // between checks whether enough peers still read the store
 	staleDivisor         = 2                      // a sync time older than maxStaleness / staleDivisor shows that peers don't pass on what they read
 	ownReadTime          = 5 * time.Second        // how long a gateway with such an old sync time reads the store itself
+
+	// A failed read is repeated at once, without waiting for changes: the store may cut a
+	// waiting watch, or answer one read with an error. It counts as lost once lossReads have
+	// failed within at least lossTime, or one had no answer for silenceTime. A read that seems to have
+	// taken longer than freezeTime shows that the process itself stood still.
+	confirmInterval = 50 * time.Millisecond
+	lossTime        = 150 * time.Millisecond
+	lossReads       = 3
+	silenceTime     = 500 * time.Millisecond
+	freezeTime      = 2 * time.Second
 )
 
 // Item is one published item.
@@ -67,9 +78,13 @@
 // changes after the revision passed to Watch. The caller must then call List.
 var ErrCompacted = errors.New("the history after this revision was dropped")
 
+// ErrUnusable is wrapped by an error of a Store that answered, but not with what was
+// asked for. It is reachable, and not lost.
+var ErrUnusable = errors.New("the store's answer can't be used")
+
 // errEarlierEra is the error of a read that returned the state of an earlier era than one
 // that the gateway or a peer has read.
-var errEarlierEra = errors.New("the store answered with the state before it went back; the last state read stays in force")
+var errEarlierEra = fmt.Errorf("%w: it is of the state before the store went back; the last state read stays in force", ErrUnusable)
 
 // Store reads what the platform publishes.
 type Store interface {
@@ -151,6 +166,8 @@
 
 	skipsReads    bool          // owned by run; last result of skipRead
 	ownReadsUntil time.Time     // owned by run; until then the gateway reads the store itself
+	failingSince  time.Time     // owned by run; when the first of the reads since the last successful one failed, zero if none did
+	failures      int           // owned by run; reads that failed since then
 	storeLost     bool          // owned by run
 	backoff       time.Duration // owned by run
 	lastFetch     time.Time     // owned by run; last fetch from peers
@@ -175,28 +192,32 @@
 	full := true
 	for ctx.Err() == nil {
 		if !full && f.skipRead() {
+			f.failingSince = time.Time{}
 			clock.Pause(ctx, readersCheckInterval)
 			continue
 		}
+		began := f.inbox.clock()
 		batch, err := f.read(ctx, full)
 		switch {
 		case ctx.Err() != nil:
 		case errors.Is(err, ErrCompacted):
 			f.journal.Event("store history dropped", "revision", roster.Number(f.inbox.mirror.Revision()))
-			full = true
+			full, f.failingSince = true, time.Time{}
 			clock.Pause(ctx, minBackoff)
+		case errors.Is(err, ErrUnusable):
+			f.answerUnusable(ctx, err)
 		case err != nil:
-			f.readFailed(ctx, err)
+			f.readFailed(ctx, err, began)
 		case roster.Era(batch.Revision) < roster.Era(f.inbox.mirror.Revision()):
 			full = true
-			f.readFailed(ctx, errEarlierEra)
+			f.answerUnusable(ctx, errEarlierEra)
 		default:
 			if full {
 				f.logListing(batch)
 			}
 			full = false
 			f.readSucceeded()
-			f.inbox.mirror.SetStoreAccess(StoreAccess{LastRead: f.inbox.clock(), LastFailure: f.inbox.mirror.StoreAccess().LastFailure})
+			f.inbox.mirror.SetStoreAccess(StoreAccess{LastRead: f.inbox.clock(), ReadBegan: batch.ReadAt, LastFailure: f.inbox.mirror.StoreAccess().LastFailure})
 			f.inbox.Apply(batch)
 			if len(batch.Items) > 0 {
 				clock.Pause(ctx, readInterval)
@@ -217,7 +238,15 @@
 	if full {
 		return f.store.List(ctx)
 	}
-	return f.store.Watch(ctx, f.inbox.mirror.Revision(), f.watchTimeout)
+	return f.store.Watch(ctx, f.inbox.mirror.Revision(), f.wait())
+}
+
+// wait returns how long a watch may wait for changes.
+func (f *Follower) wait() time.Duration {
+	if f.failingSince.IsZero() {
+		return f.watchTimeout
+	}
+	return 0
 }
 
 // skipRead reports whether the gateway leaves reading the store to its peers.
@@ -239,17 +268,49 @@
 	return skip
 }
 
-// readFailed records that the store can't be read, fetches from peers that may
-// still read it, and backs off.
-func (f *Follower) readFailed(ctx context.Context, err error) {
-	f.inbox.mirror.SetStoreAccess(StoreAccess{LastRead: f.inbox.mirror.StoreAccess().LastRead, LastFailure: f.inbox.clock()})
+// readFailed handles a failed read that began at the given time: it lets it be repeated,
+// or, once the store counts as lost, fetches from peers and backs off.
+func (f *Follower) readFailed(ctx context.Context, err error, began time.Time) {
+	now := f.inbox.clock()
+	silence := now.Sub(began) - f.wait()
+	first := f.failingSince.IsZero()
+	if first {
+		f.failingSince, f.failures = now, 0
+		f.journal.Event("store read failed", "error", err.Error(), "silent", silence, "revision", roster.Number(f.inbox.mirror.Revision()))
+	}
+	f.failures++
+	unanswered := silence >= silenceTime && silence < freezeTime
+	if !f.storeLost && !unanswered && (f.failures < lossReads || now.Sub(f.failingSince) < lossTime) {
+		if !first {
+			clock.Pause(ctx, confirmInterval)
+		}
+		return
+	}
 	if !f.storeLost {
 		f.storeLost = true
 		f.journal.Event("store lost", "error", err.Error(), "revision", roster.Number(f.inbox.mirror.Revision()))
-		f.inbox.control.Change(func(s dispatch.State, now time.Time) dispatch.State {
-			return s.WithStore(false, "it can't be read", now)
-		})
 	}
+	access := f.inbox.mirror.StoreAccess()
+	access.LastFailure = now
+	f.inbox.mirror.SetStoreAccess(access)
+	since, failedAt := f.failingSince, began
+	if first {
+		since = now.Add(-silence)
+		failedAt = since
+	}
+	f.inbox.control.Change(func(s dispatch.State, now time.Time) dispatch.State { return s.WithStoreLost(since, failedAt, now) })
+	f.fetchAndBackOff(ctx)
+}
+
+// answerUnusable handles an answer of the store that can't be used.
+func (f *Follower) answerUnusable(ctx context.Context, err error) {
+	f.journal.Event("store answer unusable", "error", err.Error(), "revision", roster.Number(f.inbox.mirror.Revision()))
+	f.failingSince = time.Time{}
+	f.fetchAndBackOff(ctx)
+}
+
+// fetchAndBackOff fetches what peers have read, and pauses before the next read.
+func (f *Follower) fetchAndBackOff(ctx context.Context) {
 	if now := f.inbox.clock(); now.Sub(f.lastFetch) >= fetchInterval {
 		f.lastFetch = now
 		if batch, found := f.peers.FetchNewest(ctx, f.inbox.mirror.Revision()); found {
@@ -261,13 +322,11 @@
 }
 
 func (f *Follower) readSucceeded() {
-	f.backoff = minBackoff
+	f.backoff, f.failingSince = minBackoff, time.Time{}
 	if !f.storeLost {
 		return
 	}
 	f.storeLost = false
 	f.journal.Event("store regained", "revision", roster.Number(f.inbox.mirror.Revision()))
-	f.inbox.control.Change(func(s dispatch.State, now time.Time) dispatch.State {
-		return s.WithStore(true, "it was read again", now)
-	})
+	f.inbox.control.Change(func(s dispatch.State, now time.Time) dispatch.State { return s.WithStoreRegained(now) })
 }
--- a/gateway/follow/follow_test.go
+++ b/gateway/follow/follow_test.go
@@ -148,7 +148,7 @@
 	return update
 }
 
-func startFollower(s *store, p follow.Peers) (*follow.Follower, *control, *follow.Mirror) {
+func startFollower(s follow.Store, p follow.Peers) (*follow.Follower, *control, *follow.Mirror) {
 	c := &control{state: dispatch.New("g", "d", dispatch.Bounds{MaxStaleness: 4400 * time.Millisecond})}
 	mirror := follow.NewMirror()
 	return follow.New(s, p, follow.NewInbox(mirror, c, decode, time.Now), discardJournal{}, 4400*time.Millisecond), c, mirror
--- a/gateway/follow/mirror.go
+++ b/gateway/follow/mirror.go
@@ -31,11 +31,12 @@
 	access   StoreAccess     // guarded by mu
 }
 
-// StoreAccess holds when a gateway itself last read the store and last failed
-// to.
+// StoreAccess holds when a gateway itself last read the store, and last could not for
+// some time.
 type StoreAccess struct {
-	LastRead    time.Time // LastRead is the time of the last successful read.
-	LastFailure time.Time // LastFailure is the time of the last failed read; zero if none failed.
+	LastRead    time.Time // LastRead is when the last successful read ended.
+	ReadBegan   time.Time // ReadBegan is when that read began.
+	LastFailure time.Time // LastFailure is the end of the last outage that the gateway saw, or the last failed read in it; zero for none.
 }
 
 // IsReader reports whether the gateway itself reads the store at time now.
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -31,14 +31,14 @@
 	forgetAfter       = 30 * time.Second       // a peer without a report for longer is forgotten, unless it is a seed
 	runningTimeout    = 5 * time.Second        // a peer without a report for longer does not count as running; with some hundred gateways a peer's turn comes every few seconds
 	maxPeers          = 512
-	readerCount       = 6               // gateways that read the store; some remain if a failure domain is lost
-	addressTicks      = 5               // reportIntervals between reports that include the addresses of peers and all ranks known
-	firstTicks        = 10              // reportIntervals after the start in which all reports include them
-	sendFanout        = 12              // peers that get a report when a request is sent, in rotation; a small site has no more peers
-	tickFanout        = 24              // peers that get a report at each reportInterval: readers of the store first, others in rotation
-	minRotation       = 12              // peers in rotation at each reportInterval
-	reportLifetime    = time.Second     // how long a report shows that a peer reads the store
-	failureLifetime   = 2 * time.Second // how long a failed read is reported; targets whose entries expired in an outage are listed again by then
+	readerCount       = 6                       // gateways that read the store; some remain if a failure domain is lost
+	addressTicks      = 5                       // reportIntervals between reports that include the addresses of peers and all ranks known
+	firstTicks        = 10                      // reportIntervals after the start in which all reports include them
+	sendFanout        = 12                      // peers that get a report when a request is sent, in rotation; a small site has no more peers
+	tickFanout        = 24                      // peers that get a report at each reportInterval: readers of the store first, others in rotation
+	minRotation       = 12                      // peers in rotation at each reportInterval
+	reportLifetime    = time.Second             // how long a report shows that a peer reads the store
+	failureLifetime   = 2500 * time.Millisecond // how long an outage of the store is reported; targets whose entries expired in it are listed again by then
 )
 
 // Names of the calls between gateways.
@@ -72,7 +72,9 @@
 	Limits     []limit     `json:"limits,omitempty"`   // limits that targets named to the gateway itself
 
 	IsReader   bool           `json:"reads,omitempty"`  // the gateway itself reads the store
-	FailureAge *time.Duration `json:"outage,omitempty"` // since its last failed read; nil if over failureLifetime
+	FailureAge *time.Duration `json:"outage,omitempty"` // since the last failed read of an outage; nil if over failureLifetime, or if others read the store meanwhile
+	BeganAge   time.Duration  `json:"began,omitempty"`  // since its last successful read began
+	EndedAge   time.Duration  `json:"ended,omitempty"`  // since that read ended; 0 if there was none
 }
 
 // Service is the gateway whose state is reported to peers.
@@ -231,6 +233,7 @@
 	var response report
 	if e.peers.client.Call(ctx, e.address, reportCall, e.report, &response) == nil {
 		e.peers.record(response)
+		e.peers.recordRead(response, sentAt)
 		e.peers.syncFrom(e.address, response, sentAt)
 	}
 	return nil // a peer that did not respond gets another report in its next turn
@@ -271,9 +274,12 @@
 		r.Full, r.Home, r.Ranks = true, state.HomeLoads(), encodeRanks(p.ranks(withPeers), now)
 		r.Limits = encodeLimits(state.Limits(withPeers, now), now)
 	}
-	if since := now.Sub(access.LastFailure); since < failureLifetime {
+	if since := now.Sub(access.LastFailure); since < failureLifetime && access.LastFailure.After(state.Roster.ContradictedAt()) {
 		r.FailureAge = &since
 	}
+	if !access.LastRead.IsZero() {
+		r.BeganAge, r.EndedAge = now.Sub(access.ReadBegan), max(1, now.Sub(access.LastRead))
+	}
 	if withPeers {
 		r.Peers = p.addresses()
 	}
@@ -303,13 +309,16 @@
 			p.statuses[address] = peerStatus{reportedAt: now}
 		}
 	}
-	lastOutage := p.lastOutage(now)
+	lastOutage, known := p.lastOutage(now)
 	if ahead := r.Listed && r.Revision > p.inbox.Mirror().Revision(); ahead && p.behindSince.IsZero() {
 		p.behindSince = now
 	}
 	p.mu.Unlock()
 	p.service.Change(func(s dispatch.State, now time.Time) dispatch.State {
-		return s.WithPeerReport(r.Name, r.Loads, r.Silent, now).WithStoreOutage(lastOutage).
+		if known {
+			s = s.WithOthersOutage(lastOutage)
+		}
+		return s.WithPeerReport(r.Name, r.Loads, r.Silent, now).
 			WithHomeLoads(r.Home, now).WithRanks(decodeRanks(r.Ranks, now), now).WithPeerConditions(decodeConditions(r.Conditions, now), now).
 			WithPeerSuspicions(decodeSuspicions(r.Suspicions, now), now).WithDepartures(decodeDepartures(r.Departures, now), now).
 			WithPeerLimits(decodeLimits(r.Limits, now), now)
--- a/gateway/peers/readers.go
+++ b/gateway/peers/readers.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"hornbeamtray/core/dispatch"
 )
 
 // peerStatus is a peer's access to the store, according to its last report.
@@ -11,7 +13,7 @@
 	reportedAt  time.Time // when the peer reported, or another peer first reported its address
 	domain      string    // failure domain; empty if the peer has not reported
 	isReader    bool
-	lastFailure time.Time // last failed read; zero if older than failureLifetime
+	lastFailure time.Time // last failed read of an outage that the peer saw; zero if older than failureLifetime
 }
 
 func statusOf(r report, now time.Time) peerStatus {
@@ -22,25 +24,36 @@
 	return s
 }
 
-// lastOutage returns when peers last failed to read the store. It returns zero
-// if this gateway or a peer reads the store and has not failed to within
-// failureLifetime: a store that rejects only some gateways has no outage. It is
-// called with mu held.
-func (p *Peers) lastOutage(now time.Time) time.Time {
-	last, access := time.Time{}, p.inbox.Mirror().StoreAccess()
+// lastOutage returns when peers last failed to read the store, and whether recent
+// reports tell. It returns zero if this gateway or a peer reads the store and saw no outage
+// within failureLifetime: a store that rejects only some gateways has none. It is called
+// with mu held.
+func (p *Peers) lastOutage(now time.Time) (last time.Time, known bool) {
+	access := p.inbox.Mirror().StoreAccess()
 	if access.IsReader(now) && now.Sub(access.LastFailure) > failureLifetime {
-		return time.Time{}
+		return time.Time{}, true
 	}
 	for _, s := range p.statuses {
 		switch {
 		case now.Sub(s.reportedAt) > reportLifetime:
 		case s.isReader && s.lastFailure.IsZero():
-			return time.Time{}
+			return time.Time{}, true
 		case s.lastFailure.After(last):
-			last = s.lastFailure
+			last, known = s.lastFailure, true
 		}
 	}
-	return last
+	return last, known
+}
+
+// recordRead applies a peer's last read of the store to the gateway's state, if that matters.
+// The response with it was requested at sentAt: the read began at its age before now at
+// the latest, and ended at its age before sentAt at the earliest.
+func (p *Peers) recordRead(r report, sentAt time.Time) {
+	if r.EndedAge <= 0 || !p.service.State().Roster.SawOutage() {
+		return
+	}
+	began, ended := p.clock().Add(-r.BeganAge), sentAt.Add(-r.EndedAge)
+	p.service.Change(func(s dispatch.State, now time.Time) dispatch.State { return s.WithStoreRead(began, ended, now) })
 }
 
 // EnoughReaders reports whether this gateway need not read the store, because
