Decode a change before it can be proven to be current

Cause: the mirror had the new revision before its configuration was decoded and sent to the state. A peer's proof for the same revision that came in between raised the sync time of the state, which still held the old configuration.

Change: a batch is decoded first, and then enters the mirror and is sent to the state under one lock, so that no proof for a revision overtakes its data.

--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -125,6 +126,8 @@
 	control Control
 	decode  Decode
 	clock   func() time.Time
+
+	applying sync.Mutex // held while a batch enters the mirror and is sent to control
 }
 
 // NewInbox returns an inbox that stores batches in a mirror and applies them to
@@ -138,11 +141,17 @@
 
 // Apply stores a batch in the mirror and applies it to the gateway's state. It reports
 // whether it did: a batch of an earlier era than that of the mirror proves nothing.
+//
+// Another read may prove that the mirror's revision is up to date as soon as the mirror
+// holds it, and this proof must not reach the state before the batch does. So the batch is
+// decoded before, and batches reach the state in the order in which they enter the mirror.
 func (i *Inbox) Apply(batch Batch) bool {
+	update := i.decode(batch, i.clock())
+	i.applying.Lock()
+	defer i.applying.Unlock()
 	if !i.mirror.Apply(batch) {
 		return false
 	}
-	update := i.decode(batch, i.clock())
 	i.control.Change(func(s dispatch.State, now time.Time) dispatch.State {
 		return s.WithUpdate(update, now)
 	})
--- a/gateway/peers/gateway_test.go
+++ b/gateway/peers/gateway_test.go
@@ -17,6 +17,7 @@
 	name    string
 	service *service
 	mirror  *follow.Mirror
+	inbox   *follow.Inbox
 	peers   *peers.Peers
 	address string
 	stop    func() // may be called several times
@@ -31,6 +32,12 @@
 
 // startGatewayAt starts a gateway that listens on an address.
 func startGatewayAt(t *testing.T, address, name, seed string) gateway {
+	t.Helper()
+	return startDecodingGateway(t, address, name, seed, decode)
+}
+
+// startDecodingGateway starts a gateway that listens on an address, with a decoder of its own.
+func startDecodingGateway(t *testing.T, address, name, seed string, decode follow.Decode) gateway {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -40,6 +47,7 @@
 		Targets: []roster.Target{{ID: "a", Service: "s", Slots: 4, Revision: 1}, {ID: "b", Service: "s", Slots: 4, Revision: 2}},
 	}, time.Now())
 	g := gateway{name: name, service: &service{state: state, sent: make(chan struct{})}, mirror: follow.NewMirror(), address: listener.Addr().String()}
+	g.inbox = follow.NewInbox(g.mirror, g.service, decode, time.Now)
 	client := wire.NewClient()
 	seeds := func() []string {
 		if seed == "" {
@@ -47,7 +55,7 @@
 		}
 		return []string{seed, "127.0.0.1:1"} // the second seed is unreachable
 	}
-	g.peers = peers.New(name, g.address, seeds, client, g.service, follow.NewInbox(g.mirror, g.service, decode, time.Now), time.Now)
+	g.peers = peers.New(name, g.address, seeds, client, g.service, g.inbox, time.Now)
 	server := wire.NewHandlersServer(listener, g.peers.Handlers())
 	g.stop = sync.OnceFunc(func() {
 		_ = server.Close()
