--- a/adapter/pool/pool.go
+++ b/adapter/pool/pool.go
@@ -21,6 +21,8 @@
 
 	"github.com/gravitational/trace"
 	"golang.org/x/sys/unix"
+
+	"hornbeamtray/adapter/socket"
 )
 
 const (
@@ -100,6 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
+	socket.LimitBuffers(raw) // a target may send without end what nobody reads
 	limited := &limitedReader{source: raw}
 	return &Conn{pool: p, address: address, raw: raw, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}, nil
 }
--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -35,6 +35,7 @@
 	// the connection is refused at once; a busy target may be slow to accept.
 	dialTimeout     = 5 * time.Second
 	readBufferBytes = 8 << 10
+	maxHeadBytes    = 64 << 10
 )
 
 // Client sends calls and orders to one target.
@@ -47,6 +48,7 @@
 func New(url string) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
+		MaxResponseHeaderBytes: maxHeadBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
--- a/agent/engine/probe.go
+++ b/agent/engine/probe.go
@@ -3,17 +3,21 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/gravitational/trace"
 	"gopkg.in/tomb.v2"
+
+	"hornbeamtray/adapter/socket"
 )
 
 const (
 	probeInterval = 500 * time.Millisecond
 	probeTimeout  = time.Second
+	maxLoadBytes  = 64 << 10
 )
 
 // Observer receives the results of a Probe.
@@ -44,12 +48,13 @@
 	p := &Probe{url: url + "/load", observer: observer, connLost: make(chan struct{}, 1)}
 	dialer := &net.Dialer{} // needs no timeout: that of the HTTP client also covers dialing
 	p.http = &http.Client{Timeout: probeTimeout, Transport: &http.Transport{
-		MaxIdleConnsPerHost: 1,
+		MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeadBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, trace.Wrap(err)
 			}
+			socket.LimitBuffers(conn)
 			return &watchedConn{Conn: conn, ended: p.connLost}, nil
 		},
 	}}
@@ -113,7 +118,7 @@
 	defer response.Body.Close()
 	var published loadReply
 	// A target that answers without reporting what it has loaded counts as reachable too.
-	_ = json.NewDecoder(response.Body).Decode(&published)
+	_ = json.NewDecoder(io.LimitReader(response.Body, maxLoadBytes)).Decode(&published)
 	return published, nil
 }
 
--- a/operator/caller/caller.go
+++ b/operator/caller/caller.go
@@ -24,10 +24,13 @@
 
 	maxIdleConns  = 1024
 	slowReadBytes = 256 // most bytes per read when Request.Pause is set
+
+	maxHeadBytes   = 64 << 10
+	maxAnswerBytes = 256 << 20 // kept in memory
 )
 
 var client = &http.Client{Transport: &http.Transport{
-	MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true,
+	MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxHeadBytes, DisableCompression: true,
 	DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 		if err != nil {
@@ -97,7 +100,7 @@
 	defer response.Body.Close()
 	answer := Answer{Status: response.StatusCode, RequestID: response.Header.Get(requestHeader), Ticket: response.Header.Get(ticketHeader)}
 	reader := &reader{body: response.Body, pause: r.Pause}
-	body, err := io.ReadAll(reader)
+	body, err := io.ReadAll(io.LimitReader(reader, maxAnswerBytes))
 	answer.Body, answer.Total = string(body), time.Since(started)
 	if !reader.first.IsZero() {
 		answer.TimeToFirstByte = reader.first.Sub(started)
