--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -227,7 +227,7 @@
 // Evidence returns what is known of a part, for logs.
 func (l List) Evidence(part string, now time.Time) string {
 	s := l.known(part, now)
-	text := strconv.Itoa(s.count()) + " crashes that count of " + strconv.Itoa(len(s.Crashes))
+	text := strconv.Itoa(s.count()) + " of " + strconv.Itoa(len(s.Crashes)) + " crashes count"
 	if len(s.Crashes) > 0 {
 		text += ", the last " + now.Sub(s.crashedAt()).Round(time.Millisecond).String() + " ago"
 	}
