Reset connections in one place, and say what a quarantined plain request is refused for

Cause: the reset of a connection stood in adapter/pool and, since the answers that are broken off, in adapter/socket; the refusal of a quarantined request spoke of its prompt alone, but plain requests are quarantined for their content, too. Change: Conn.Abandon calls socket.Reset; one text. What is sent to targets is as before.

--- a/adapter/pool/pool.go
+++ b/adapter/pool/pool.go
@@ -171,12 +171,7 @@
 // Abandon resets the connection in the middle of a request. The reset makes the
 // target's machine drop the bytes that the target has not read yet, so that a
 // paused target does not read the request when it resumes.
-func (c *Conn) Abandon() {
-	if tcp, ok := c.raw.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // fails only if the connection is closed
-	}
-	_ = c.raw.Close()
-}
+func (c *Conn) Abandon() { socket.Reset(c.raw) }
 
 // Raw returns the underlying connection, for writing and for closing it from
 // another goroutine.
--- a/adapter/socket/socket.go
+++ b/adapter/socket/socket.go
@@ -38,14 +38,15 @@
 func Break(w http.ResponseWriter, r *http.Request) {
 	if !r.ProtoAtLeast(1, 1) {
 		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
-			reset(conn)
+			Reset(conn)
 		}
 	}
 	panic(http.ErrAbortHandler)
 }
 
-// reset closes a connection so that its other end gets an error in place of the end.
-func reset(conn net.Conn) {
+// Reset closes a connection so that its other end gets an error in place of the end, and
+// its machine drops the bytes that were not read yet.
+func Reset(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // fails only if the connection is closed
 	}
--- a/core/dispatch/suspect.go
+++ b/core/dispatch/suspect.go
@@ -68,5 +68,5 @@
 	if !blocked {
 		return nil
 	}
-	return refused(refusal.New(refusal.Quarantined, refusal.No, "requests with a part of this prompt crashed targets; change the prompt or try again later").WithRetry(until.Sub(now)))
+	return refused(refusal.New(refusal.Quarantined, refusal.No, "requests with the same content, or a part of this prompt, crashed targets; change it or try again later").WithRetry(until.Sub(now)))
 }
