Log how each attempt was sent, and why it counts as not run

Cause: from the log of a request nobody could tell on which connection an attempt was sent, what that carried before, when, and whether a refusal was the target's statement or only a status; an answer that was passed on left no line with its status. So the hypotheses of the incident looked alike.

Change: attempt lines and the line of the request have the times, the connection, its earlier requests and the bytes written; lines of attempts that did not run have the evidence; the line of the request has the status that was passed on. The log part of gateway/serve has its own file. No logic changed.

--- a/adapter/pool/pool.go
+++ b/adapter/pool/pool.go
@@ -77,8 +77,21 @@
 	reader    *bufio.Reader  // reads limited
 	expiresAt time.Time      // when the pool stops reusing the connection
 	idleSince time.Time
+	carried   int    // requests that it carried
+	latest    string // ID of the latest of them
 }
 
+// Carry records that the connection carries a request from now on. It returns how many
+// it carried before, and the ID of the latest of them.
+func (c *Conn) Carry(id string) (earlier int, previous string) {
+	earlier, previous = c.carried, c.latest
+	c.carried, c.latest = earlier+1, id
+	return earlier, previous
+}
+
+// Name identifies the connection in logs: its local address.
+func (c *Conn) Name() string { return c.raw.LocalAddr().String() }
+
 // Get returns an idle connection or a new one. An error means that no connection
 // could be made, so nothing was sent.
 func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
--- a/gateway/serve/deliver.go
+++ b/gateway/serve/deliver.go
@@ -44,7 +44,7 @@
 		d.failure = nil
 		d.service.recordProof(d.admission.Parts)
 		d.recordPart()
-		if d.out.Begin(withLength(head, len(buffered))) != nil || d.out.Write(buffered) != nil {
+		if d.begin(withLength(head, len(buffered))) != nil || d.out.Write(buffered) != nil {
 			return d.newAttempt(retry.Abandoned), false
 		}
 		return retry.Attempt{}, true
@@ -65,7 +65,7 @@
 // deliverUnbuffered delivers an answer that is too large to be buffered. It writes the
 // buffered bytes, then the rest as it arrives.
 func (d *delivery) deliverUnbuffered(reply Reply, buffered []byte) (retry.Attempt, bool) {
-	if d.out.Begin(reply.Head()) != nil || d.out.Write(buffered) != nil {
+	if d.begin(reply.Head()) != nil || d.out.Write(buffered) != nil {
 		return d.newAttempt(retry.Abandoned), false
 	}
 	d.headSent = true
@@ -152,7 +152,7 @@
 func (d *delivery) deliverEvents(head Head, complete []byte, lastEventID string) bool {
 	if !d.headSent {
 		head.Length = -1
-		if d.out.Begin(head) != nil {
+		if d.begin(head) != nil {
 			return false
 		}
 		d.headSent = true
@@ -181,6 +181,12 @@
 	d.lastPartAt = now
 }
 
+// begin writes the head of the answer to the caller.
+func (d *delivery) begin(head Head) error {
+	d.status = head.Status
+	return d.out.Begin(head)
+}
+
 func withLength(head Head, length int) Head {
 	head.Length = int64(length)
 	return head
--- a/gateway/serve/port.go
+++ b/gateway/serve/port.go
@@ -32,6 +32,19 @@
 	Priority     int           // Priority orders requests that wait at the target; 0 is the highest.
 	Timeout      time.Duration // Timeout is how much longer the caller waits.
 	LastEventID  string        // LastEventID is the ID of the last event that the caller received.
+
+	// OnSend, if set, is called when the call was written or has failed to be, or, if it is
+	// written concurrently with reading its answer, before that. It is not called if no
+	// connection could be made.
+	OnSend func(Sending)
+}
+
+// Sending describes how a call was sent, for logs.
+type Sending struct {
+	Connection string // Connection identifies the connection to the target; empty if there was none.
+	Earlier    int    // Earlier is the number of requests that the connection carried before.
+	Previous   string // Previous is the ID of the latest of them.
+	Bytes      int    // Bytes is how many bytes were written, or -1 if that was not known yet.
 }
 
 // Head is the part of an answer that precedes its body.
--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -6,7 +6,6 @@
 	"io"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -99,12 +98,15 @@
 	possibleRuns int         // attempts that may have run
 	ran          refusal.Ran // whether the request ran: the most cautious statement of all attempts
 	headSent     bool
-	headReceived bool     // of the current attempt's answer
-	events       int      // complete events of the current attempt's answer
-	bodyReceived bool     // a part of the current attempt's answer that is not an event stream
-	closed       bool     // the target closed the connection of the current attempt
-	lastEventID  string   // ID of the last event that the caller received
-	failure      *failure // the latest error answer of a target; nil for none
+	headReceived bool          // of the current attempt's answer
+	events       int           // complete events of the current attempt's answer
+	bodyReceived bool          // a part of the current attempt's answer that is not an event stream
+	closed       bool          // the target closed the connection of the current attempt
+	sending      Sending       // of the current attempt
+	sentAfter    time.Duration // from the arrival to the begin of the current attempt
+	status       int           // of the answer that was passed on; 0 for none
+	lastEventID  string        // ID of the last event that the caller received
+	failure      *failure      // the latest error answer of a target; nil for none
 
 	arrived       time.Time
 	firstPartTime time.Duration // from the arrival to the first part; 0 for none
@@ -231,7 +233,7 @@
 // is one and the caller has no head yet; otherwise it returns the refusal.
 func (d *delivery) finish(r refusal.Refusal) Outcome {
 	if d.failure != nil && !d.headSent {
-		if d.out.Begin(d.failure.head) == nil && d.out.Write(d.failure.body) == nil {
+		if d.begin(d.failure.head) == nil && d.out.Write(d.failure.body) == nil {
 			return Outcome{HeadSent: true}
 		}
 	}
@@ -243,6 +245,7 @@
 // how the attempt ended, and whether the caller received a complete answer.
 func (d *delivery) attempt(ctx context.Context) (retry.Attempt, bool) {
 	d.headReceived, d.events, d.bodyReceived, d.closed = false, 0, false, false
+	d.sending, d.sentAfter = Sending{}, d.service.clock().Sub(d.arrived)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	left := d.admission.Deadline.Sub(d.service.clock())
@@ -258,6 +261,7 @@
 		Message: d.request.Message, ID: d.request.ID, Address: d.target.Address, Instance: d.target.ID,
 		Host: d.request.Host, Account: d.admission.Account, SendPriority: d.admission.Route.Kind == route.Stream, Priority: d.admission.Priority,
 		Timeout: left, LastEventID: d.lastEventID,
+		OnSend: func(s Sending) { d.sending = s },
 	})
 	if errors.Is(err, ErrNotSent) {
 		d.logFailure("not sent", err)
@@ -299,7 +303,11 @@
 // refusedAttempt returns the current attempt, whose target did not run the request.
 func (d *delivery) refusedAttempt(head Head) retry.Attempt {
 	d.possibleRuns--
-	d.logFailure("not run", nil, "status", head.Status, "group", head.GroupLost, "leaving", head.Leaving, "pause", head.Pause, "invalid", head.InvalidPause)
+	evidence := "the target states that it did not run the request"
+	if head.Replaced {
+		evidence = "the process that answered is another than the target"
+	}
+	d.logFailure("not run", nil, "status", head.Status, "evidence", evidence, "group", head.GroupLost, "leaving", head.Leaving, "pause", head.Pause, "invalid", head.InvalidPause)
 	if head.GroupLost {
 		d.service.recordGroupLost(d.target)
 	}
@@ -339,42 +347,3 @@
 		Delivered: d.headSent, Sends: 1,
 	}
 }
-
-// logFailure logs and counts a failed attempt. how is its kind in the metrics.
-func (d *delivery) logFailure(how string, err error, pairs ...any) {
-	d.service.meter.Inc("attempts", how)
-	pairs = append([]any{"request", d.request.ID, "target", d.target.ID, "how", how, "revision", roster.Number(d.target.Revision)}, pairs...)
-	if err != nil && !errors.Is(err, ErrNotSent) {
-		pairs = append(pairs, "closed", d.closed, "head", d.headReceived, "events", d.events, "parts", strings.Join(d.request.Parts, ","), "own", d.request.OwnPart)
-	}
-	if err != nil {
-		pairs = append(pairs, "error", err.Error())
-	}
-	d.service.journal.Event("attempt failed", pairs...)
-}
-
-// logOutcome logs and counts the outcome of the request. took is the time since its
-// arrival.
-func (d *delivery) logOutcome(o Outcome, took time.Duration) {
-	kind, ran := "answered", refusal.Yes
-	if o.Refusal != nil {
-		kind, ran = string(o.Refusal.Kind), o.Refusal.Ran
-	}
-	d.service.meter.Inc("requests", kind)
-	d.service.meter.Observe("request_time", took)
-	pairs := []any{
-		"request", d.request.ID, "route", d.admission.Route.Name, "account", d.admission.Account,
-		"service", d.admission.Service, "target", d.target.ID, "attempts", len(d.triedTargets), "outcome", kind, "ran", ran,
-		"begun", o.HeadSent, "first", d.firstPartTime, "gap", d.longestGap, "took", took, "version", d.admission.Version,
-	}
-	if o.Refusal != nil {
-		pairs = append(pairs, "retry", o.Refusal.RetryAfter, "remedy", o.Refusal.Remedy)
-	}
-	if len(d.request.Parts) > 0 || d.request.OwnPart != "" {
-		pairs = append(pairs, "parts", strings.Join(d.request.Parts, ","), "own", d.request.OwnPart)
-	}
-	d.service.journal.Event("request", pairs...)
-	if d.longestGap > 0 {
-		d.service.meter.Observe("longest_gap", d.longestGap)
-	}
-}
--- a/gateway/serve/serve_test.go
+++ b/gateway/serve/serve_test.go
@@ -45,6 +45,8 @@
 	script []step
 	calls  []serve.Call
 	onSend func() // called by Send
+
+	sending func() serve.Sending // describes how each call is sent; nil for no description
 }
 
 func (t *scriptedTargets) Send(ctx context.Context, call serve.Call) (serve.Reply, error) {
@@ -52,6 +54,9 @@
 	if t.onSend != nil {
 		t.onSend()
 	}
+	if t.sending != nil {
+		call.OnSend(t.sending())
+	}
 	if len(t.script) == 0 {
 		return nil, errors.New("the script has no more steps")
 	}
