--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -89,6 +89,25 @@
 	}
 }
 
+// TestRefusedAlthoughItMayHaveRun guards against a status that says to any HTTP client that a
+// request did not run, on the refusal of one that may have run.
+func TestRefusedAlthoughItMayHaveRun(t *testing.T) {
+	for _, kind := range []refusal.Kind{refusal.Limit, refusal.Busy, refusal.Closing, refusal.Leaving} {
+		for _, tt := range []struct {
+			ran     refusal.Ran
+			promise bool
+		}{{refusal.No, true}, {refusal.Unknown, false}, {refusal.Yes, false}} {
+			t.Run(string(kind)+" "+string(tt.ran), func(t *testing.T) {
+				refused := refusal.New(kind, tt.ran, "later").WithRetry(time.Second)
+				w := serveOne(fakeService{outcome: serve.Outcome{Refusal: &refused}}, httptest.NewRequest("POST", "/v1/services/orders/book", strings.NewReader("{}")))
+				if promise := w.Code == http.StatusServiceUnavailable || w.Code == http.StatusTooManyRequests; promise != tt.promise {
+					t.Errorf("status is %d, want 429 or 503: %t", w.Code, tt.promise)
+				}
+			})
+		}
+	}
+}
+
 // TestCutAnswerIsNoWholeOne guards against a cut answer that looks whole to the caller.
 // If a request fails after the head of its answer was sent, the server must cut the
 // connection and send no length trailer.
