Pass on a status that promises "not run" only with the target's statement

Cause: any signed status was passed on unchanged. The signature says who answered, not that nothing ran; a target that is preempted, loses its group or stops after it began may answer so.

Change: 408, 421, 429 and 503 without the statement count as an attempt that may have run: repeated where that is allowed, else answered with 502 without the stamp. Refusals with the statement get 503 with Retry-After as before.

--- a/gateway/serve/port.go
+++ b/gateway/serve/port.go
@@ -54,6 +54,7 @@
 	Length    int64 // Length is the length of the body in bytes, or -1 if it is not known.
 	Signed    bool  // Signed reports whether the target signed the answer.
 	NotRun    bool  // NotRun reports whether the target guarantees that it did not run the request.
+	Promises  bool  // Promises reports whether callers take the status for the guarantee that the request did not run and never will.
 	Replaced  bool  // Replaced reports whether another process than the expected target answered.
 	Unframed  bool  // Unframed reports whether only the end of the connection ends the answer.
 	Leaving   bool  // Leaving reports whether the target says that it accepts no new work.
--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -290,6 +290,8 @@
 	case !head.Signed: // the answer may not come from the target
 		d.logFailure("unsigned answer", nil, "status", head.Status)
 		return d.newAttempt(retry.Broken), false
+	case head.Promises:
+		return d.unprovenRefusal(head), false
 	case head.Status < 300 && d.admission.Route.Kind == route.Stream:
 		d.service.recordGroupWorking(d.target)
 		return d.deliverStream(reply, wd)
@@ -319,6 +321,16 @@
 	return attempt
 }
 
+// unprovenRefusal returns the current attempt, whose target refused the request but did not
+// state that it did not run. Callers would take the status for that statement, so it is not
+// passed on.
+func (d *delivery) unprovenRefusal(head Head) retry.Attempt {
+	d.logFailure("unproven refusal", nil, "status", head.Status, "pause", head.Pause)
+	attempt := d.newAttempt(retry.Stopped)
+	attempt.Refusal = refusal.New(refusal.Failed, refusal.Unknown, "the target refused the request without stating that it did not run; check the outcome before asking anew")
+	return attempt
+}
+
 // attemptTimeout returns how long an attempt may take: on a stream until the answer
 // begins, otherwise until it is complete. 0 means that only the deadline of the
 // request applies.
--- a/gateway/serve/serve_test.go
+++ b/gateway/serve/serve_test.go
@@ -177,6 +177,7 @@
 	broken := step{err: errors.New("connection reset")}
 	notSent := step{err: fmt.Errorf("%w: refused", serve.ErrNotSent)}
 	unsigned := step{head: serve.Head{Status: 200}, parts: []string{"x"}}
+	unproven := step{head: serve.Head{Status: 503, Signed: true, Promises: true}, parts: []string{"full"}}
 	event := func(n int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", n) }
 	cutStream := step{head: serve.Head{Status: 200, Signed: true, Length: -1}, parts: []string{event(1), event(2), "id: 3\nda"}, breaksOff: true}
 	delayed, pausing := answer(event(1)), answer(event(1), event(2))
@@ -200,6 +201,13 @@
 		{"once, answer cut", "/once/", []step{{head: serve.Head{Status: 200, Signed: true}, parts: []string{"he"}, breaksOff: true}}, 0, "", refusal.Cut, refusal.Unknown, 1},
 		{"once, failed", "/once/", []step{status(500), answer("x")}, 500, "", "", "", 1},
 		{"once, unsigned", "/once/", []step{unsigned, answer("x")}, 0, "", refusal.Cut, refusal.Unknown, 1},
+		{"once, refused without a statement", "/once/", []step{unproven, answer("x")}, 0, "", refusal.Failed, refusal.Unknown, 1},
+		{"once, not run and then refused without a statement", "/once/", []step{notRun(false), unproven, answer("x")}, 0, "", refusal.Failed, refusal.Unknown, 2},
+		{"again, refused without a statement", "/again/", []step{unproven, answer("x")}, 200, "x", "", "", 2},
+		{"again, refused without a statement twice", "/again/", []step{unproven, unproven, answer("x")}, 0, "", refusal.Failed, refusal.Unknown, 2},
+		{"again, failed and then refused without a statement", "/again/", []step{status(500), unproven, answer("x")}, 500, "", "", "", 2},
+		{"stream that can't be resumed, refused without a statement", "/single/", []step{unproven, answer(event(1))}, 0, "", refusal.Failed, refusal.Unknown, 1},
+		{"stream cut and then refused without a statement", "/stream/", []step{cutStream, unproven, answer(event(3))}, 200, event(1) + event(2), refusal.Failed, refusal.Unknown, 2},
 		{"again, broken", "/again/", []step{broken, answer("x")}, 200, "x", "", "", 2},
 		{"again, broken too often", "/again/", []step{broken, broken, answer("x")}, 0, "", refusal.Cut, refusal.Unknown, 2},
 		{"again, failed", "/again/", []step{status(500), answer("x")}, 200, "x", "", "", 2},
