Carry only one request of an ID over each connection to a target

Callers saw: 503 of a request that ran, once one ran twice. A target started anew at its address under another ID while its former one was still listed; the first attempt got 421 for the former ID, the second, to the new ID, went over the same kept connection and ran, and a late copy of the first refusal was taken for its answer.

Change: a connection remembers the IDs that it carried and is not chosen for one of them again; one without an ID gets a connection of its own. So an answer on a connection names at most one attempt. A connection ends after 1,000 requests, which bounds its memory to 8 kB.

--- a/adapter/pool/pool.go
+++ b/adapter/pool/pool.go
@@ -13,12 +13,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"golang.org/x/sys/unix"
 
@@ -32,6 +34,7 @@
 	maxIdlePerTarget = 8                      // from one pool to one target; small, since the idle connections of all gateways add up at a target
 	userTimeoutMS    = 1500                   // TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged
 	readBufferBytes  = 4 << 10
+	maxRequests      = 1000 // on one connection; bounds what it remembers of them to 8 kB
 )
 
 // Pool keeps idle connections by address.
@@ -77,25 +80,27 @@
 	reader    *bufio.Reader  // reads limited
 	expiresAt time.Time      // when the pool stops reusing the connection
 	idleSince time.Time
-	carried   int    // requests that it carried
-	latest    string // ID of the latest of them
+	carried   []uint64 // hashes of the IDs of the requests that it carried
+	latest    string   // ID of the latest of them; empty if it had none
 }
 
 // Carry records that the connection carries a request from now on. It returns how many
 // it carried before, and the ID of the latest of them.
 func (c *Conn) Carry(id string) (earlier int, previous string) {
-	earlier, previous = c.carried, c.latest
-	c.carried, c.latest = earlier+1, id
+	earlier, previous = len(c.carried), c.latest
+	c.carried, c.latest = append(c.carried, xxhash.Sum64String(id)), id
 	return earlier, previous
 }
 
 // Name identifies the connection in logs: its local address.
 func (c *Conn) Name() string { return c.raw.LocalAddr().String() }
 
-// Get returns an idle connection or a new one. An error means that no connection
-// could be made, so nothing was sent.
-func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
-	for c := p.takeIdle(address); c != nil; c = p.takeIdle(address) {
+// Get returns an idle connection or a new one for a request with an ID. A connection never
+// carries two requests with one ID, or another request beside one without an ID: a late copy
+// of the answer to the first could not be told from the answer to the second. An error means
+// that no connection could be made, so nothing was sent.
+func (p *Pool) Get(ctx context.Context, address, id string) (*Conn, error) {
+	for c := p.takeIdle(address, id); c != nil; c = p.takeIdle(address, id) {
 		if time.Now().Before(c.expiresAt) && c.isIdle() {
 			return c, nil
 		}
@@ -131,22 +136,30 @@
 	return optionErr
 }
 
-func (p *Pool) takeIdle(address string) *Conn {
+// takeIdle takes the connection to an address that was used last, of those that may carry a
+// request with an ID, from the pool. It returns nil if there is none.
+func (p *Pool) takeIdle(address, id string) *Conn {
+	if id == "" {
+		return nil
+	}
+	hash := xxhash.Sum64String(id)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[address]
-	if len(conns) == 0 {
-		return nil
+	for i, c := range slices.Backward(conns) {
+		if !slices.Contains(c.carried, hash) {
+			p.idle[address] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	c := conns[len(conns)-1]
-	p.idle[address] = conns[:len(conns)-1]
-	return c
+	return nil
 }
 
 // Release returns the connection to the pool for other requests. The Keep-Alive
 // header in the head of the answer limits how long the connection may stay idle.
 // Release closes the connection instead if this limit leaves no idle time, the pool
-// is closed, or the pool has maxIdlePerTarget connections to the target already.
+// is closed, the pool has maxIdlePerTarget connections to the target already, or the
+// connection carried maxRequests or a request without an ID.
 func (c *Conn) Release(head http.Header) {
 	timeout := idleTimeout
 	if keepAlive, found := keepAliveTimeout(head); found {
@@ -156,7 +169,8 @@
 	c.expiresAt = c.idleSince.Add(timeout)
 	p := c.pool
 	p.mu.Lock()
-	keep := !p.closed && timeout > 0 && len(p.idle[c.address]) < maxIdlePerTarget
+	keep := !p.closed && timeout > 0 && len(p.idle[c.address]) < maxIdlePerTarget &&
+		len(c.carried) < maxRequests && (len(c.carried) == 0 || c.latest != "")
 	if keep {
 		p.idle[c.address] = append(p.idle[c.address], c)
 	}
