Answer callers with a target's redirect instead of following it

Callers would see: ran=no of a call that its target had received, if the target answered with a redirect to an address that refuses connections; otherwise the target got a second request, a GET without the body, under the same ID.

Cause: the agent's HTTP client follows redirects by itself, and a failure to connect to the next address counted as a failure to send the call.

Change: the agent never follows a redirect; it is the target's answer.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -62,7 +62,11 @@
 		// just as a call was sent on it, the outcome of the call would be unknown.
 		DisableKeepAlives: true,
 	}
-	return &Client{url: url, http: &http.Client{Transport: transport}}
+	return &Client{url: url, http: &http.Client{
+		Transport: transport,
+		// A redirect is the target's answer: to follow it would be a second call.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
 }
 
 // Run makes one call and writes its answer to sink. The error wraps
