Do not call a run that can't be resumed after a pause not run

Callers would see: ran=no of an idempotent call whose target had begun to answer, if the target could not be reached when the run was resumed after a pause for a slow reader.

Cause: "not sent" is evidence about the latest call to the target, and was taken for the whole run, as with connections that carried an earlier attempt.

Change: it counts only if no earlier call of the run reached the target.

--- a/agent/serve/run.go
+++ b/agent/serve/run.go
@@ -29,6 +29,7 @@
 	answer    *answer.Answer
 	kept      bool // the answer is stored whole, for repeats of the request
 	resumable bool // the target can continue the answer from an offset
+	started   bool // a call before the present one reached the target
 	ctx       context.Context
 	cancel    context.CancelFunc
 }
@@ -59,6 +60,7 @@
 	sink := newMeasuringSink(r)
 	err := r.call(sink)
 	for errors.Is(err, errReaderBlocked) {
+		r.started = true
 		if err = r.pause(); err == nil {
 			sink = newMeasuringSink(r)
 			err = r.call(sink)
@@ -131,7 +133,7 @@
 		r.answer.Finish()
 	case errors.Is(err, errExpired):
 		r.answer.Fail(refusal.New(refusal.Expired, refusal.No, "the ticket expired before the request started; fetch a new ticket"))
-	case errors.Is(err, ErrNotSent):
+	case errors.Is(err, ErrNotSent) && !r.started:
 		r.answer.Fail(refusal.New(refusal.Failed, refusal.No, "the target can't be reached by its agent; try again").WithRetry(time.Second))
 	case errors.Is(r.ctx.Err(), context.DeadlineExceeded):
 		r.answer.Fail(refusal.New(refusal.Deadline, refusal.Unknown, "the target did not answer in time; check the outcome before asking anew"))
