Refuse with 429 or 503 only what did not run

Callers would see: status 503 or 429 beside ran=unknown or ran=yes, for example after a ticket whose earlier request may have run, or a refusal that follows an attempt that was cut. HTTP clients and proxies that don't read the body repeat after these statuses.

Cause: an entry instance derived the status from the kind of the refusal alone.

Change: refusals of kind limit, busy, closing and leaving have status 502 unless the request did not run. The body is as before.

--- a/entry/front/refusal.go
+++ b/entry/front/refusal.go
@@ -64,11 +64,18 @@
 	if r.Retryable {
 		w.Header().Set("Retry-After", strconv.Itoa(int((r.RetryAfter+time.Second-1)/time.Second)))
 	}
+	writeJSON(w, statusCode(r), body)
+}
+
+// statusCode returns the HTTP status of a refusal. 429 and 503, which HTTP clients take for
+// "not processed", are for requests that did not run.
+func statusCode(r refusal.Refusal) int {
 	status, found := statusByKind[r.Kind]
-	if !found {
-		status = http.StatusBadGateway
+	promises := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+	if !found || promises && r.Ran != refusal.No {
+		return http.StatusBadGateway
 	}
-	writeJSON(w, status, body)
+	return status
 }
 
 func writeTicket(w http.ResponseWriter, t ticket.Ticket) {
