Soak: servers that refuse what they ran, and start anew beside their former entries

Cause: the soak checks the promise of 503, 429, 408 and 421 of each request that must not run twice, for as long as it runs, but its servers always told the truth: a 500 without a signature was the worst they said, no refusal came twice, and a former entry was removed before the next process began.

--- a/scenario/soak/soak_test.go
+++ b/scenario/soak/soak_test.go
@@ -223,6 +223,8 @@
 		time.Sleep(d.duration)
 		w.crashRecord.set(false)
 	}},
+	{"server refuses what it ran", func(w *world, d faultParams) { w.servers[d.server].refuse(d.duration) }},
+	{"server starts anew beside its former entry", func(w *world, d faultParams) { w.restartBesideEntry(d.server, d.duration/4) }},
 	{"server slow", func(w *world, d faultParams) { w.servers[d.server].degrade(true, false, d.duration) }},
 	{"server flaky", func(w *world, d faultParams) { w.servers[d.server].degrade(false, true, d.duration) }},
 	{"new configuration", func(w *world, _ faultParams) { w.configure() }},
--- a/scenario/soak/target_test.go
+++ b/scenario/soak/target_test.go
@@ -28,6 +28,8 @@
 	index   int    // in world.servers
 	said    statements
 
+	refusals refusing
+
 	replacing sync.Mutex // held while the incarnation is replaced
 
 	mu            sync.Mutex
@@ -42,6 +44,15 @@
 // start starts a new incarnation of the server, with its own ID, and registers it as
 // ready.
 func (s *server) start(id string) error {
+	if err := s.listenAs(id); err != nil {
+		return err
+	}
+	s.register("ready")
+	return nil
+}
+
+// listenAs starts a new incarnation of the server without registering it.
+func (s *server) listenAs(id string) error {
 	listener, err := net.Listen("tcp", s.listen)
 	if err != nil {
 		return err
@@ -52,7 +63,6 @@
 	s.mu.Unlock()
 	s.said.reset()
 	go func() { _ = serving.Serve(listener) }()
-	s.register("ready")
 	return nil
 }
 
@@ -68,6 +78,13 @@
 	return s.id
 }
 
+// process identifies the incarnation that serves; nil while there is none.
+func (s *server) process() *http.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serving
+}
+
 // drain registers the server as draining and says so in its answers. It goes on serving
 // until stop.
 func (s *server) drain() {
@@ -131,6 +148,9 @@
 		s.running--
 		s.mu.Unlock()
 	}
+	if !expected && s.refuseWithCopy(w, id, clientIP) {
+		return
+	}
 	if !expected || full || refuses {
 		w.Header().Set("Not-Run", "1")
 		w.WriteHeader(map[bool]int{true: http.StatusServiceUnavailable, false: http.StatusMisdirectedRequest}[expected])
@@ -149,6 +169,9 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if s.refusals.refuseRun(w, n) {
+		return
+	}
 	w.Header().Set("Server-Stamp", s.address+"."+id)
 	if strings.HasPrefix(r.URL.Path, "/flow/") {
 		s.stream(w, r, id, clientIP)
