--- a/adapter/pool/pool.go
+++ b/adapter/pool/pool.go
@@ -196,8 +196,8 @@
 func (c *Conn) Close() { _ = c.raw.Close() }
 
 // Abandon resets the connection in the middle of a request. The reset makes the
-// target's machine drop the bytes that the target has not read yet, so that a
-// paused target does not read the request when it resumes.
+// target's machine drop bytes in flight. What the machine received before may still be
+// read, also by a paused target when it resumes: the request may run.
 func (c *Conn) Abandon() { socket.Reset(c.raw) }
 
 // Raw returns the underlying connection, for writing and for closing it from
--- a/adapter/socket/socket.go
+++ b/adapter/socket/socket.go
@@ -45,7 +45,7 @@
 }
 
 // Reset closes a connection so that its other end gets an error in place of the end, and
-// its machine drops the bytes that were not read yet.
+// its machine drops bytes in flight. Linux still hands out those received before.
 func Reset(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // fails only if the connection is closed
