--- a/core/quarantine/blame_test.go
+++ b/core/quarantine/blame_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -149,3 +150,32 @@
 		l.Proven(parts, now)
 	}
 }
+
+// TestManyParts checks that what is remembered of parts stays below a hundredth of the
+// memory of the smallest gateway, however many different ones are proven and crash targets.
+func TestManyParts(t *testing.T) {
+	const parts, maxBytes = 200_000, 184_000_000 / 100
+	heap := func() int64 {
+		var stats runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&stats)
+		return int64(stats.HeapAlloc)
+	}
+	before := heap()
+	list, now := quarantine.New("g"), start
+	for n := range parts {
+		part := fmt.Sprintf("%012x", n)
+		now = now.Add(time.Millisecond)
+		if n%1000 == 0 {
+			list = list.WithCrash([]string{part, quarantine.Own(part)}, quarantine.Begun, now)
+			continue
+		}
+		list = list.WithProof([]string{part}, now)
+	}
+	used := heap() - before
+	t.Logf("%d kB, %d suspicions", used>>10, len(list.Suspicions(true, now)))
+	if used > maxBytes {
+		t.Errorf("%d bytes are kept, want at most %d", used, maxBytes)
+	}
+	runtime.KeepAlive(list)
+}
