Soak: wait until servers have refused what they ran

It gave each server 250 ms, one after the other, and gateways send little to servers that have just failed.

Change: the servers refuse what they ran until eight requests have met it, for 20 s at most; the checks are as before.

--- a/scenario/soak/refuse_test.go
+++ b/scenario/soak/refuse_test.go
@@ -119,10 +119,23 @@
 	s.refusals.set(func(r *refusing) { r.copies = false })
 }
 
+// refusedRuns returns how many requests servers have refused after they ran.
+func (w *world) refusedRuns() int {
+	refused := 0
+	for _, s := range w.servers {
+		s.refusals.set(func(r *refusing) { refused += r.refused })
+	}
+	return refused
+}
+
 // TestRefusalsThatProveNothing has plain servers refuse requests that they ran, and restart
 // beside their former entries with late copies of refusals, again and again, and no other fault.
 func TestRefusalsThatProveNothing(t *testing.T) {
-	const rounds, round = 16, 250 * time.Millisecond
+	const (
+		rounds, round = 16, 250 * time.Millisecond
+		fewRefusals   = 8                // after a run
+		maxWait       = 20 * time.Second // for them; gateways send little to servers that failed
+	)
 	w := newWorld(t, firstNetwork+int(worldCount.Add(1)%networkCount), rand.New(rand.NewPCG(9, 2)))
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -139,19 +152,22 @@
 		}
 		restarting.Wait()
 	}
-	for _, s := range w.servers {
-		if s.rank < 0 {
-			s.refuse(round)
+	for end := time.Now().Add(maxWait); w.refusedRuns() < fewRefusals && time.Now().Before(end); {
+		var refusing sync.WaitGroup
+		for _, s := range w.servers {
+			if s.rank < 0 {
+				refusing.Go(func() { s.refuse(round) })
+			}
 		}
+		refusing.Wait()
 	}
-	time.Sleep(round)
 	served, sent := w.ledger.totals()
 	w.stopGateways()
 	cancel()
 	calling.Wait()
-	refused, copied := 0, 0
+	refused, copied := w.refusedRuns(), 0
 	for _, s := range w.servers {
-		s.refusals.set(func(r *refusing) { refused, copied = refused+r.refused, copied+r.copied })
+		s.refusals.set(func(r *refusing) { copied += r.copied })
 	}
 	t.Logf("%d requests refused after they ran, %d late copies of refusals", refused, copied)
 	if refused == 0 || copied == 0 {
