Treat a request alike whatever share of its route's time its caller has left

Callers with less than 0.8 of the route's timeout were taken for ones that had been refused before: they got no place in a target's queue and ranked four lower.

Cause: Admit guessed from the time left that a request is a repeat.

TestTimeLeftCountsNotTheRoutesTimeout and the row of TestAdmission failed before (priority 6 instead of 2, no place in the queue).

The same guess was looked for in all modules; it stood in dispatch and serve only.

--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -180,13 +180,7 @@
 	retryAfterDivisor = 3                      // a refused caller is asked to retry after 1/retryAfterDivisor of its time left
 )
 
-// A request whose timeout is much shorter than the route's counts as late. It is most
-// likely the retry of a caller that was refused, which has less time left than on its
-// first attempt and gets its answer late in any case.
-const (
-	minOnTimeFraction = 0.8 // of the route's timeout; a caller that retries has about two thirds of it left
-	latePenalty       = 4   // added to the priority of a late request, so that it ranks lower
-)
+const latePenalty = 4 // added to the priority of a late request, so that it ranks lower
 
 // WithLate returns the admission marked as late, which ranks it behind requests
 // that can still be on time.
@@ -233,9 +227,6 @@
 			a.Priority = account.Priority
 		}
 	}
-	if selected.Timeout > 0 && r.Timeout > 0 && float64(r.Timeout) < minOnTimeFraction*float64(selected.Timeout) {
-		a = a.WithLate()
-	}
 	a.Deadline = now.Add(shorterTimeout(selected.Timeout, r.Timeout))
 	s.InFlight++
 	s.budgets = s.budgets.Set(a.Service, s.budget(a.Service).WithFirstAttemptOf(s.retryReserve()))
--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -152,8 +152,7 @@
 // chooseTarget chooses a target. If none has capacity, it waits, but ends early
 // enough that the caller still receives the refusal. If all groups of the service
 // are lost, it refuses the request at once with a retry delay, since a lost group
-// is down for seconds. A late request waits then, too: it is most likely the last
-// that its caller makes, and better answered late than not at all.
+// is down for seconds.
 func (d *delivery) chooseTarget(ctx context.Context) choice {
 	waitUntil := d.arrived.Add(min(d.admission.Route.EventTimeout()-waitReserve, d.admission.Deadline.Sub(d.arrived)/waitTimeDivisor))
 	d.admission = d.admission.WithPermit("")
@@ -186,14 +185,14 @@
 }
 
 // isHopeless reports whether a request that found no target won't find one by waiting:
-// all groups are lost, unless the request is late, or all targets asked for pauses or are
-// at their limits for longer than it may wait.
+// all groups are lost, or all targets asked for pauses or are at their limits for longer
+// than it may wait.
 func (d *delivery) isHopeless(waitUntil, now time.Time) bool {
 	state := d.service.State()
 	if state.Hopeless(d.admission.WithPermitWait(d.arrived, waitUntil), waitUntil, now) {
 		return true
 	}
-	return !d.admission.Late && state.AllGroupsLost(d.admission.Service, now)
+	return state.AllGroupsLost(d.admission.Service, now)
 }
 
 // decide returns the next step after an attempt. A Resolve step would ask a target's
