Let a request that waited past its objective keep its place

The objective says by when an answer earns its full credit; the caller is still there after it.

Cause: requests were marked as late by the objective. The mark is gone, with the penalty and the second bound on the load of a target.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	maxQueued     = 2           // requests that may queue at a target; a queued one starts within about 0.1 s
+	maxQueued     = 2           // requests that may queue at a target, so that it has work until the gateways learn of a free slot
 	coldPenalty   = 2           // requests added to the load of a cold target
 	remotePenalty = 1           // requests added to the load of a target in another failure domain than the gateway's
 	coldWindow    = time.Second // sliding window of the bound on requests to a cold target; see Bounds
@@ -140,7 +140,7 @@
 			continue
 		}
 		load, group := s.loadOf(t, now), s.group(t)
-		if load >= maxLoad(t, a.Late) {
+		if load >= maxLoad(t) {
 			continue
 		}
 		if t.Domain != s.Domain {
@@ -258,14 +258,8 @@
 // last sent it a request.
 func (s State) AwaitsResponse(id string) bool { return !s.View(id).unansweredSince.IsZero() }
 
-// maxLoad returns the load at which a target gets no more requests. Late requests
-// may not queue, which leaves the queue to those that can still be on time.
-func maxLoad(t roster.Target, late bool) int {
-	if late {
-		return max(1, t.Slots)
-	}
-	return max(1, t.Slots) + maxQueued
-}
+// maxLoad returns the load at which a target gets no more requests.
+func maxLoad(t roster.Target) int { return max(1, t.Slots) + maxQueued }
 
 // withoutAttemptRecord returns the state with a target's attempt record reset.
 func (s State) withoutAttemptRecord(id string) State {
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -161,7 +161,6 @@
 	Service  string
 	Priority int
 	Deadline time.Time
-	Late     bool     // Late is set if the answer can no longer be on time.
 	Version  uint64   // Version is that of the book under which the request was admitted.
 	Parts    []string // Parts are those of the Request.
 
@@ -180,18 +179,6 @@
 	retryAfterDivisor = 3                      // a refused caller is asked to retry after 1/retryAfterDivisor of its time left
 )
 
-const latePenalty = 4 // added to the priority of a late request, so that it ranks lower
-
-// WithLate returns the admission marked as late, which ranks it behind requests
-// that can still be on time.
-func (a Admission) WithLate() Admission {
-	if !a.Late {
-		a.Late = true
-		a.Priority += latePenalty
-	}
-	return a
-}
-
 // RetryAfter returns the delay after which the caller should retry a request that
 // no target could take. Callers retry once, and a group that lost a rank is down
 // for seconds, so the delay is the longest that callers accept.
--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -171,9 +171,6 @@
 		if c.refused == nil || c.refused.Kind != refusal.Busy || d.headSent || !now.Before(waitUntil) || d.isHopeless(waitUntil, now) {
 			return c
 		}
-		if now.Sub(d.arrived) > d.admission.Route.LatencyGoal {
-			d.admission = d.admission.WithLate()
-		}
 		timer := time.NewTimer(min(waitPollInterval, waitUntil.Sub(now)))
 		select {
 		case <-capacityFreed:
--- /dev/null
+++ b/gateway/serve/wait_test.go
@@ -0,0 +1,50 @@
+package serve_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"hornbeamtray/core/dispatch"
+	"hornbeamtray/core/route"
+	"hornbeamtray/gateway/serve"
+)
+
+// loadTargets reports a load of all targets from a peer.
+func loadTargets(service *serve.Service, load int) {
+	loads := map[string]int{}
+	for _, t := range service.State().Roster.Targets() {
+		loads[t.ID] = load
+	}
+	service.Change(func(s dispatch.State, now time.Time) dispatch.State { return s.WithPeerReport("peer", loads, nil, now) })
+	synctest.Wait()
+}
+
+// TestWaitIsAlikeForAllObjectives checks that a request that waits for a place gets the
+// first one that it may use, whatever its route's objective: a caller who is still there
+// wants its answer, and the objective says nothing of how long it stays.
+func TestWaitIsAlikeForAllObjectives(t *testing.T) {
+	tests := []struct {
+		name      string
+		objective time.Duration
+	}{{"none", 0}, {"short", 60 * time.Millisecond}, {"long", 500 * time.Millisecond}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				book := route.NewBook(6, route.WithServices(route.Service{Name: "s"}), route.WithRoutes(route.Route{
+					Name: "x", Host: "h", Prefix: "/x/", Public: true, Kind: route.AtMostOnce, Timeout: 8 * time.Second, LatencyGoal: tt.objective,
+					Attempts: 1, Shares: []route.Share{{Service: "s", Weight: 1}},
+				}))
+				service := serve.New(newState().WithBook(book, time.Now()), &scriptedTargets{script: []step{answer("x")}}, discard{}, discard{})
+				defer service.Close()
+				loadTargets(service, 6) // the slots and the places in the queue are taken
+				time.AfterFunc(700*time.Millisecond, func() { loadTargets(service, 4) })
+				start := time.Now()
+				outcome := service.Serve(t.Context(), serve.Request{ID: "r", Host: "h", Path: "/x/"}, &caller{})
+				if took := time.Since(start); outcome.Refusal != nil || took > 900*time.Millisecond {
+					t.Errorf("refusal = %v after %s, want the answer once there is a place after 0.7 s", outcome.Refusal, took)
+				}
+			})
+		})
+	}
+}
