Decide waits, refusals, returns and turns by one forecast, not by shares

Cause: each wait was a share of its own: a quarter of the time left, half of the objective divided by the rank at limits, a third of the time left as Retry-After. None of them knew how much work there was, and whoever polled first got the place, so that ranks decided nothing among those who waited.

Change: core/pace measures how long targets take, dispatch.forecast says when a request would get a place, core/queue orders those who wait (rank, accounts in turn, arrival, and one place in four for lower ranks), dispatch.Queue lets a request wait while its answer is expected in its caller's time, and refuses it at once otherwise. Retry-After says when there will be room, spread over the time of an answer, and is left out if no return can help. Lost groups, pauses and limits go through the same decision; a lost group is expected back after as long as the last time, or as long again as it has been away.

The limits of targets: the permit for a turn is asked for 0.1 s before it, so that who comes next is decided in the gateway's queue. Asks are no longer bounded by a count of 8: a keeper that denied is asked again after 0.2 s at the earliest.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -32,6 +33,7 @@
 type View struct {
 	InFlight        int // InFlight counts this gateway's requests at the target.
 	Attempts        eject.Record
+	begun           []time.Time // sends of as many requests as are in flight, the latest ones; never written after construction
 	sends           []time.Time // sends within coldWindow; never written after construction
 	replacedAt      time.Time   // when another process last answered at the target's address; zero for never
 	unansweredSince time.Time   // first send since the latest response, or a later retry of a silent target; zero after a response
@@ -65,28 +67,37 @@
 	}
 	s.peers = s.peers.withoutOutdated(now)
 	c := s.candidates(a, tried, now)
-	chosen, found := permitted(c.free, a.Permit)
+	chosen, found := c.permitted(a.Permit)
+	if !found && s.precedes(a, c) >= c.room {
+		return s, roster.Target{}, refused(refusal.New(refusal.Busy, refusal.No, "no target of the service has room for the request now; try again"))
+	}
 	if !found {
 		chosen, found = s.choose(c.free, random)
 	}
 	if !found {
-		if chosen, found = permitted(c.probes, a.Permit); !found {
-			chosen, found = routing.LeastLoaded(c.probes, random)
-		}
-		if found {
-			s = s.withProbe(chosen.Target, now)
-		}
-	}
-	if !found && !c.nextPermit.IsZero() {
-		chosen, found = c.next, true
+		chosen, found = routing.LeastLoaded(c.probes, random)
 	}
 	if !found {
-		return s, roster.Target{}, refused(s.busyRefusal(a, now))
+		chosen = c.next
+	}
+	if slices.Contains(c.probes, chosen) {
+		s = s.withProbe(chosen.Target, now)
 	}
 	t, _ := s.Roster.Target(chosen.Target)
 	s = s.withTrial(t, now)
+	if s.queue.Len() > 0 {
+		place := a.Place
+		if !place.Waits() {
+			place = s.queue.Next(a.Service, a.Priority)
+		}
+		s.queue = s.queue.WithTaken(place, a.Account)
+	}
+	if s.idle.Len() > 0 {
+		s = s.withIdle(a.Service, now)
+	}
 	view := s.View(t.ID)
 	view.InFlight++
+	view.begun = append(slices.Clone(view.begun), now)
 	if now.Sub(view.unansweredSince) > silentProbeAfter {
 		view.unansweredSince = now
 	}
@@ -96,38 +107,40 @@
 	return s, t, nil
 }
 
-// busyRefusal returns the refusal of a request that no target can take.
-func (s State) busyRefusal(a Admission, now time.Time) refusal.Refusal {
-	if r, held := s.heldRefusal(a, now); held {
-		return r
-	}
-	remedy := "no target of the service can take the request now; try again"
-	if s.AllGroupsLost(a.Service, now) {
-		remedy = "the groups of the service's targets can't work now; try again"
-	}
-	return refusal.New(refusal.Busy, refusal.No, remedy).WithRetry(a.RetryAfter(now))
-}
-
 // candidates are the targets that can take a request.
 type candidates struct {
 	free       []routing.Candidate
 	probes     []routing.Candidate // of lost groups that are due for a probe
-	next       routing.Candidate   // of the targets at their limits, the one whose turn comes first; none if nextPermit is zero
+	next       routing.Candidate   // of the targets at their limits whose turn comes within permitLead, the first; none if nextPermit is zero
 	nextPermit time.Time
+	room       int // requests that the candidates can take now
+}
+
+// all returns the IDs of the candidates.
+func (c candidates) all() []string {
+	var ids []string
+	for _, candidate := range slices.Concat(c.free, c.probes) {
+		ids = append(ids, candidate.Target)
+	}
+	if !c.nextPermit.IsZero() {
+		ids = append(ids, c.next.Target)
+	}
+	return ids
 }
 
 // permitted returns the candidate for which a request has a permit.
-func permitted(list []routing.Candidate, permit string) (routing.Candidate, bool) {
-	for _, candidate := range list {
-		if candidate.Target == permit {
-			return candidate, true
+func (c candidates) permitted(permit string) (routing.Candidate, bool) {
+	for _, list := range [][]routing.Candidate{c.free, c.probes} {
+		for _, candidate := range list {
+			if candidate.Target == permit {
+				return candidate, true
+			}
 		}
 	}
 	return routing.Candidate{}, false
 }
 
-// candidates returns the targets that can take a request. A target at its limit is one
-// only if its turn comes before the request has to go.
+// candidates returns the targets that can take a request.
 func (s State) candidates(a Admission, tried []string, now time.Time) candidates {
 	var found candidates
 	serving, silent, triedGroups := s.Roster.Serving(a.Service, now), s.silentTargets(now), s.groupsOf(tried)
@@ -136,11 +149,12 @@
 		if departing[t.ID] || !s.pausedUntil(t, now).IsZero() {
 			continue
 		}
-		if slices.Contains(tried, t.ID) || s.View(t.ID).Attempts.Ejected(now) || s.View(t.ID).replaced(now) || !s.belowColdBound(t, now) {
+		if slices.Contains(tried, t.ID) || s.View(t.ID).Attempts.Ejected(now) || s.View(t.ID).replaced(now) {
 			continue
 		}
 		load, group := s.loadOf(t, now), s.group(t)
-		if load >= maxLoad(t) {
+		room := min(maxLoad(t)-load, s.coldRoom(t, now))
+		if room <= 0 {
 			continue
 		}
 		if t.Domain != s.Domain {
@@ -162,12 +176,17 @@
 		nextProbe, lost := s.groups.nextProbes[group]
 		switch until := s.needsPermitUntil(a, t, now); {
 		case !until.IsZero():
-			if !lost && !until.After(a.WaitUntil) && (found.nextPermit.IsZero() || until.Before(found.nextPermit)) {
-				found.next, found.nextPermit = candidate, until
+			if !lost && !until.After(now.Add(permitLead)) {
+				found.room++
+				if found.nextPermit.IsZero() || until.Before(found.nextPermit) {
+					found.next, found.nextPermit = candidate, until
+				}
 			}
 		case !lost:
+			found.room += room
 			found.free = append(found.free, candidate)
 		case !now.Before(nextProbe):
+			found.room++
 			found.probes = append(found.probes, candidate)
 		}
 	}
@@ -206,8 +225,14 @@
 
 // replaced reports whether another process answered at the target's address within
 // replacedTimeout.
-func (v View) replaced(now time.Time) bool {
-	return !v.replacedAt.IsZero() && now.Sub(v.replacedAt) <= replacedTimeout
+func (v View) replaced(now time.Time) bool { return !now.After(v.replacedUntil()) }
+
+// replacedUntil returns until when the target counts as replaced, or the zero time.
+func (v View) replacedUntil() time.Time {
+	if v.replacedAt.IsZero() {
+		return time.Time{}
+	}
+	return v.replacedAt.Add(replacedTimeout)
 }
 
 // WithReplaced returns the state after another process answered at a target's address.
@@ -270,18 +295,17 @@
 	return s
 }
 
-// belowColdBound reports whether this gateway may send a target one more request
-// under its share of the bound in Bounds. A target may be cold before the platform
-// lists it as cold, so the bound applies to all targets of a service with a cold
-// rate.
-func (s State) belowColdBound(t roster.Target, now time.Time) bool {
+// coldRoom returns how many more requests this gateway may send a target under its share
+// of the bound in Bounds. A target may be cold before the platform lists it as cold, so
+// the bound applies to all targets of a service with a cold rate.
+func (s State) coldRoom(t roster.Target, now time.Time) int {
 	service, found := s.Book.Service(t.Service)
 	if !found || service.ColdRate <= 0 {
-		return true
+		return math.MaxInt
 	}
 	gateways := max(minGateways, s.peers.count()+1)
 	bound := (service.ColdRate*s.bounds.ColdOvershoot + s.bounds.ColdSlack) / float64(gateways)
-	return len(recentSends(s.View(t.ID).sends, now)) < max(1, int(bound))
+	return max(1, int(bound)) - len(recentSends(s.View(t.ID).sends, now))
 }
 
 // recentSends returns a copy of the sends within coldWindow, with capacity for one more.
@@ -304,6 +328,7 @@
 		return s
 	}
 	view.InFlight = max(0, view.InFlight-1)
+	view.begun = view.begun[max(0, len(view.begun)-view.InFlight):]
 	var ejected bool
 	view.Attempts, ejected = view.Attempts.WithAttempt(failed, func() (int, int) { return s.countEjected(id, now) }, now)
 	if ejected {
--- a/core/dispatch/group.go
+++ b/core/dispatch/group.go
@@ -65,6 +65,8 @@
 	ranks      map[string]RankReport // by address of the target
 	conditions map[GroupID]Condition // of the groups that were lost at least once
 	nextProbes map[GroupID]time.Time // next attempt at each lost group
+
+	interruptions map[GroupID]interruption // of the groups that were lost at least once
 }
 
 // group returns the group of a target. Its name is empty if no steward has reported
@@ -177,6 +179,15 @@
 		nextProbes[c.Group] = now.Add(s.probeInterval())
 	}
 	s.groups.conditions, s.groups.nextProbes = conditions, nextProbes
+	s.groups.interruptions = maps.Clone(s.groups.interruptions)
+	if s.groups.interruptions == nil {
+		s.groups.interruptions = map[GroupID]interruption{}
+	}
+	if outage := s.groups.interruptions[c.Group]; c.Lost {
+		s.groups.interruptions[c.Group] = outage.withBegin(c.At)
+	} else {
+		s.groups.interruptions[c.Group] = outage.withEnd(c.At)
+	}
 	switch {
 	case c.Lost == before.Lost:
 	case c.Lost:
@@ -223,18 +234,6 @@
 // Lost reports whether the target's group can't work.
 func (s State) Lost(t roster.Target) bool { return s.groups.conditions[s.group(t)].Lost }
 
-// AllGroupsLost reports whether every group of the service's targets is lost, so that
-// no target can take a request. It returns false for a service without targets.
-func (s State) AllGroupsLost(service string, now time.Time) bool {
-	serving := s.Roster.Serving(service, now)
-	for _, t := range serving {
-		if !s.Lost(t) {
-			return false
-		}
-	}
-	return len(serving) > 0
-}
-
 // forming reports whether the target's group formed anew after a loss and still uses
 // its first expert map, with which passes take long.
 func (s State) forming(t roster.Target) bool {
--- a/core/dispatch/permit.go
+++ b/core/dispatch/permit.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	goalDivisor      = 2           // a request waits for its turn for at most 1/goalDivisor of its latency goal; the target needs the rest
-	scheduleLifetime = time.Minute // after its latest request, by when a schedule admits any request
+	permitLead       = 100 * time.Millisecond // how long before its turn a request is given a permit: above a call to the keeper, and short, so that who comes next is decided late
+	scheduleLifetime = time.Minute            // after its latest request, by when a schedule admits any request
 )
 
 // Ask asks the keeper of a target's limit for a permit to send one request to it.
@@ -35,7 +35,7 @@
 	}
 	ask := Ask{Target: t.ID, StartUnixMilli: known.start, Limit: known.limit}
 	if now.Before(known.nextPermit) {
-		ask.Wait = max(0, a.WaitUntil.Sub(now))
+		ask.Wait = permitLead
 	}
 	return ask, true
 }
@@ -100,19 +100,6 @@
 	return a
 }
 
-// WithPermitWait returns the admission of a request that arrived at a time and may wait
-// until a given one. It waits for a permit less, the lower it ranks: while the targets of
-// a service together take less than the demand, the queue for their permits is as long as
-// the requests of the highest rank may wait, and those that rank lower are refused at once.
-func (a Admission) WithPermitWait(arrived, until time.Time) Admission {
-	longest := until.Sub(arrived)
-	if goal := a.Route.LatencyGoal; goal > 0 {
-		longest = min(longest, goal/goalDivisor)
-	}
-	a.WaitUntil = arrived.Add(longest / time.Duration(1+max(0, a.Priority)))
-	return a
-}
-
 // withoutOldSchedules returns the state without the schedules that admit any request.
 func (s State) withoutOldSchedules(now time.Time) State {
 	for i := s.schedules.Iterator(); !i.Done(); {
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -13,6 +13,7 @@
 	"github.com/benbjohnson/immutable"
 
 	"hornbeamtray/core/quarantine"
+	"hornbeamtray/core/queue"
 	"hornbeamtray/core/quota"
 	"hornbeamtray/core/refusal"
 	"hornbeamtray/core/retry"
@@ -60,6 +61,9 @@
 	quarantine  quarantine.List
 	statements  *immutable.Map[string, statement]      // by target
 	schedules   *immutable.Map[string, quota.Schedule] // of the targets whose limits this gateway keeps
+	queue       queue.Queue
+	paces       *immutable.Map[string, paces]        // by service
+	idle        *immutable.Map[string, interruption] // by service that had no target for a request
 }
 
 // New returns the state of a gateway that has just started.
@@ -74,6 +78,9 @@
 		quarantine: quarantine.New(name),
 		statements: immutable.NewMap[string, statement](nil),
 		schedules:  immutable.NewMap[string, quota.Schedule](nil),
+		queue:      queue.New(),
+		paces:      immutable.NewMap[string, paces](nil),
+		idle:       immutable.NewMap[string, interruption](nil),
 	}
 }
 
@@ -164,8 +171,16 @@
 	Version  uint64   // Version is that of the book under which the request was admitted.
 	Parts    []string // Parts are those of the Request.
 
-	Permit    string    // Permit is the target for which the request has a permit; empty for none.
-	WaitUntil time.Time // WaitUntil is until when the request may wait for a permit.
+	Arrived time.Time
+	Heard   time.Time   // Heard is when the caller last received a part of its answer, or when the request arrived.
+	Permit  string      // Permit is the target for which the request has a permit; empty for none.
+	Place   queue.Place // Place is the place of a request that waits for a target.
+
+	// The latest forecast for a request that found no target.
+	JudgedAt  time.Time
+	Ahead     int           // Ahead is how many requests were expected to get a place before it.
+	Wait      time.Duration // Wait is how much longer it was expected to wait.
+	WaitUntil time.Time     // WaitUntil is until when it can be sent to be answered in time.
 }
 
 // The retry budget of one gateway.
@@ -174,16 +189,12 @@
 	extraRetriesFraction = 0.8 // of Bounds.MaxExtraRetries; a gateway that has not met all others yet takes more than its share
 )
 
-const (
-	staleRetryAfter   = 300 * time.Millisecond // by then the gateway has probably read the platform again
-	retryAfterDivisor = 3                      // a refused caller is asked to retry after 1/retryAfterDivisor of its time left
-)
+const staleRetryAfter = 300 * time.Millisecond // by then the gateway has probably read the platform again
 
-// RetryAfter returns the delay after which the caller should retry a request that
-// no target could take. Callers retry once, and a group that lost a rank is down
-// for seconds, so the delay is the longest that callers accept.
-func (a Admission) RetryAfter(now time.Time) time.Duration {
-	return max(0, a.Deadline.Sub(now)/retryAfterDivisor)
+// WithHeard returns the admission after the caller received a part of its answer.
+func (a Admission) WithHeard(at time.Time) Admission {
+	a.Heard = at
+	return a
 }
 
 // Admit admits or refuses a request. An admitted one counts as in flight until
@@ -200,7 +211,7 @@
 	if !found {
 		return s, Admission{}, refused(refusal.New(refusal.Service, refusal.No, "no route matches the host and path; check the address"))
 	}
-	a := Admission{Route: selected, Service: selected.Service(draw), Priority: selected.Priority, Version: s.Book.Version, Parts: r.Parts}
+	a := Admission{Route: selected, Service: selected.Service(draw), Priority: selected.Priority, Version: s.Book.Version, Parts: r.Parts, Arrived: now, Heard: now}
 	if s.Book.RequiresKeys() && !selected.Public {
 		if !s.Fresh(now) {
 			return s, Admission{}, refused(refusal.New(refusal.Closing, refusal.No, "this instance can't check keys at present; ask again").WithRetry(staleRetryAfter))
--- a/gateway/serve/deliver.go
+++ b/gateway/serve/deliver.go
@@ -99,6 +99,9 @@
 			d.service.recordResponse(d.target.ID)
 		}
 		if complete := splitter.Split(buffer[:n]); len(complete) > 0 {
+			if d.events == 0 {
+				d.service.recordFirstPart(d.admission.Service, d.sinceSend())
+			}
 			d.events = splitter.Events()
 			if d.progress() == quarantine.UnderWay {
 				d.service.recordProof(d.admission.Parts)
@@ -178,7 +181,7 @@
 	} else {
 		d.longestGap = max(d.longestGap, now.Sub(d.lastPartAt))
 	}
-	d.lastPartAt = now
+	d.lastPartAt, d.admission = now, d.admission.WithHeard(now)
 }
 
 // begin writes the head of the answer to the caller.
--- a/gateway/serve/log.go
+++ b/gateway/serve/log.go
@@ -48,8 +48,14 @@
 	if len(d.triedTargets) > 0 {
 		pairs = append(pairs, d.sendingPairs()...)
 	}
+	if !d.admission.JudgedAt.IsZero() {
+		pairs = append(pairs, "ahead", d.admission.Ahead, "wait", d.admission.Wait, "until", d.admission.WaitUntil.Sub(d.arrived), "judged", d.admission.JudgedAt.Sub(d.arrived))
+	}
 	if o.Refusal != nil {
-		pairs = append(pairs, "retry", o.Refusal.RetryAfter, "remedy", o.Refusal.Remedy)
+		if o.Refusal.Retryable {
+			pairs = append(pairs, "retry", o.Refusal.RetryAfter)
+		}
+		pairs = append(pairs, "remedy", o.Refusal.Remedy)
 	}
 	if len(d.request.Parts) > 0 || d.request.OwnPart != "" {
 		pairs = append(pairs, "parts", strings.Join(d.request.Parts, ","), "own", d.request.OwnPart)
--- a/gateway/serve/permits.go
+++ b/gateway/serve/permits.go
@@ -29,14 +29,22 @@
 }
 
 // takePermit asks for a permit and waits until the request may be sent. It returns the
-// target for which it got one, or "".
-func (s *Service) takePermit(ctx context.Context, ask dispatch.Ask) string {
+// target for which it got one, or "". A request that got one no longer waits in the queue.
+func (s *Service) takePermit(ctx context.Context, a dispatch.Admission, ask dispatch.Ask) string {
 	grant := s.permits.Ask(ctx, ask)
 	if !grant.Granted && ctx.Err() != nil {
 		return "" // the request ended, which says nothing of the target
 	}
 	s.Change(func(state dispatch.State, now time.Time) dispatch.State {
-		return state.WithNextPermit(ask.Target, grant.Next, now)
+		if grant.Granted {
+			s.capacityFreed.Raise()
+			state = state.WithPlaceTaken(a)
+		}
+		next := grant.Next
+		if again := now.Add(2 * ask.Wait); !grant.Granted && next.Before(again) {
+			next = again // the keeper must not be asked without end
+		}
+		return state.WithNextPermit(ask.Target, next, now)
 	})
 	if !grant.Granted {
 		s.meter.Inc("permits", "denied")
--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -13,6 +13,7 @@
 	"hornbeamtray/core/dispatch"
 	"hornbeamtray/core/ledger"
 	"hornbeamtray/core/quarantine"
+	"hornbeamtray/core/queue"
 	"hornbeamtray/core/refusal"
 	"hornbeamtray/core/retry"
 	"hornbeamtray/core/roster"
@@ -24,9 +25,6 @@
 	minAttemptTime        = 20 * time.Millisecond  // with less time left, another attempt can't succeed
 	firstEventReserve     = 100 * time.Millisecond // an attempt without a first event is canceled this long before the event timeout, so that another target can answer
 	attemptTimeoutDivisor = 2                      // an attempt that may be repeated gets 1/attemptTimeoutDivisor of the time left
-	waitReserve           = 600 * time.Millisecond // waiting for capacity ends this long before the event timeout
-	waitTimeDivisor       = 4                      // a request waits for capacity for at most 1/waitTimeDivisor of the time until its deadline
-	maxAsks               = 8                      // asks for permits per attempt; a denied one tells when the target may get a request
 	waitPollInterval      = 100 * time.Millisecond // between checks for capacity, since not all freed capacity raises capacityFreed
 )
 
@@ -129,9 +127,13 @@
 		}
 		d.target = chosen.target
 		d.triedTargets = append(d.triedTargets, chosen.target.ID)
+		resumed := d.headSent
 		attempt, complete := d.attempt(ctx)
 		failed := !complete && (attempt.End == retry.Broken || attempt.End == retry.NotSent || attempt.End == retry.Stopped) && ctx.Err() == nil
 		d.service.recordAttempt(d.target.ID, failed)
+		if complete && !resumed {
+			d.service.recordAnswer(d.admission.Service, d.sinceSend())
+		}
 		if d.closed {
 			d.service.recordCrash(d.target, d.admission.Parts, d.progress())
 		}
@@ -144,34 +146,37 @@
 			return d.finish(d.refusalForContext(ctx))
 		}
 		if next.Step != retry.Elsewhere || !d.canRetry(ctx, attempt) {
+			if attempt.End == retry.Refused {
+				next.Refusal = d.service.busyRefusal(ctx, d.admission)
+			}
 			return d.finish(next.Refusal)
 		}
 	}
 }
 
-// chooseTarget chooses a target. If none has capacity, it waits, but ends early
-// enough that the caller still receives the refusal. If all groups of the service
-// are lost, it refuses the request at once with a retry delay, since a lost group
-// is down for seconds.
+// chooseTarget chooses a target. If none has room, it waits while the request is expected
+// to be answered in the time that its caller has.
 func (d *delivery) chooseTarget(ctx context.Context) choice {
-	waitUntil := d.arrived.Add(min(d.admission.Route.EventTimeout()-waitReserve, d.admission.Deadline.Sub(d.arrived)/waitTimeDivisor))
-	d.admission = d.admission.WithPermit("")
-	for asks := 0; ; {
+	defer func() {
+		d.service.leaveQueue(d.admission)
+		d.admission.Place = queue.Place{}
+	}()
+	for d.admission = d.admission.WithPermit(""); ctx.Err() == nil; {
 		capacityFreed := d.service.capacityFreed.Wait()
-		c := d.service.choose(ctx, d.request, d.admission.WithPermitWait(d.arrived, waitUntil), d.triedTargets, d.ran)
-		if c.ask != nil && asks == maxAsks {
-			return c
-		}
+		c := d.service.choose(ctx, d.request, d.admission, d.triedTargets, d.ran)
 		if c.ask != nil {
-			asks++
-			d.admission = d.admission.WithPermit(d.service.takePermit(ctx, *c.ask))
+			if d.admission = d.admission.WithPermit(d.service.takePermit(ctx, d.admission, *c.ask)); d.admission.Permit != "" {
+				d.admission.Place = queue.Place{}
+			}
 			continue
 		}
-		now := d.service.clock()
-		if c.refused == nil || c.refused.Kind != refusal.Busy || d.headSent || !now.Before(waitUntil) || d.isHopeless(waitUntil, now) {
+		if c.judged != nil {
+			d.admission = c.judged.WithPermit("")
+		}
+		if c.judged == nil || c.refused != nil {
 			return c
 		}
-		timer := time.NewTimer(min(waitPollInterval, waitUntil.Sub(now)))
+		timer := time.NewTimer(min(waitPollInterval, d.admission.WaitUntil.Sub(d.service.clock())))
 		select {
 		case <-capacityFreed:
 		case <-timer.C:
@@ -179,18 +184,12 @@
 		}
 		timer.Stop()
 	}
+	r := d.refusalForContext(ctx)
+	return choice{refused: &r}
 }
 
-// isHopeless reports whether a request that found no target won't find one by waiting:
-// all groups are lost, or all targets asked for pauses or are at their limits for longer
-// than it may wait.
-func (d *delivery) isHopeless(waitUntil, now time.Time) bool {
-	state := d.service.State()
-	if state.Hopeless(d.admission.WithPermitWait(d.arrived, waitUntil), waitUntil, now) {
-		return true
-	}
-	return state.AllGroupsLost(d.admission.Service, now)
-}
+// sinceSend returns how long ago the current attempt began.
+func (d *delivery) sinceSend() time.Duration { return d.service.clock().Sub(d.arrived) - d.sentAfter }
 
 // decide returns the next step after an attempt. A Resolve step would ask a target's
 // agent whether the request ran. The gateway calls targets without an agent, so it
@@ -313,7 +312,7 @@
 		d.service.recordReplaced(d.target.ID)
 	}
 	attempt := d.newAttempt(retry.Refused)
-	attempt.Refusal = refusal.New(refusal.Busy, refusal.No, "the target did not run the request; try again").WithRetry(d.admission.RetryAfter(d.service.clock()))
+	attempt.Refusal = refusal.New(refusal.Busy, refusal.No, "the target did not run the request; try again")
 	return attempt
 }
 
--- a/gateway/serve/service.go
+++ b/gateway/serve/service.go
@@ -179,7 +179,8 @@
 // choice is the result of choosing a target.
 type choice struct {
 	target  roster.Target
-	ask     *dispatch.Ask // set if the request needs a permit before it may be sent; refused is then its refusal without one
+	ask     *dispatch.Ask       // set if the request needs a permit before it may be sent
+	judged  *dispatch.Admission // with the forecast for a request that found no target; it has a place if the request has to wait
 	refused *refusal.Refusal
 }
 
@@ -196,12 +197,15 @@
 			return state, choice{refused: &r}
 		}
 		chosen, target, refused := state.Choose(a, tried, s.random, now)
+		if refused != nil && refused.Kind == refusal.Busy {
+			queued, judged, refused := state.Queue(a, tried, s.random.Float64(), now)
+			return queued, choice{judged: &judged, refused: refused}
+		}
 		if refused != nil {
 			return chosen, choice{refused: refused}
 		}
 		if ask, needed := state.Ask(a, target, now); needed {
-			r := a.AtLimits(time.Time{}, now)
-			return state, choice{ask: &ask, refused: &r}
+			return state, choice{ask: &ask}
 		}
 		s.beforeSend.Raise()
 		return chosen, choice{target: target}
@@ -212,6 +216,28 @@
 	return c
 }
 
+// leaveQueue takes a request out of the queue if it waits there.
+func (s *Service) leaveQueue(a dispatch.Admission) {
+	if !a.Place.Waits() {
+		return
+	}
+	s.Change(func(state dispatch.State, _ time.Time) dispatch.State {
+		s.capacityFreed.Raise()
+		return state.WithoutPlace(a)
+	})
+}
+
+// busyRefusal returns the refusal of a request that targets did not run for lack of room.
+func (s *Service) busyRefusal(ctx context.Context, a dispatch.Admission) refusal.Refusal {
+	r, err := control.Ask(ctx, s.owner, func(state dispatch.State, now time.Time) (dispatch.State, refusal.Refusal) {
+		return state, state.Busy(a, s.random.Float64(), now)
+	})
+	if err != nil {
+		return *closingRefusal(err)
+	}
+	return r
+}
+
 // takeRetry takes a retry from the service's budget and reports whether the budget
 // allows it.
 func (s *Service) takeRetry(ctx context.Context, service string) bool {
@@ -281,6 +307,18 @@
 	})
 }
 
+// recordFirstPart records how long a target took to begin an answer.
+func (s *Service) recordFirstPart(service string, took time.Duration) {
+	s.Change(func(state dispatch.State, now time.Time) dispatch.State {
+		return state.WithFirstPart(service, took, now)
+	})
+}
+
+// recordAnswer records how long a target took to complete an answer.
+func (s *Service) recordAnswer(service string, took time.Duration) {
+	s.Change(func(state dispatch.State, now time.Time) dispatch.State { return state.WithAnswer(service, took, now) })
+}
+
 // recordResponse records that a target sent any part of an answer.
 func (s *Service) recordResponse(target string) {
 	if s.State().AwaitsResponse(target) {
