Take a target for silent by how long answers take, not by a share of the callers' time

A target that had sent nothing for 0.5 s was avoided, a figure given as a quarter of the time that callers wait. Targets that are slow, but sound, were avoided all at once, and a hung one among prompt ones went on getting requests for half a second, most of what some callers have.

Now the time is the one after which answers of the service rarely begin: the measured mean and four deviations, as for retransmissions in RFC 6298. The age of a peer's report is a constant of its own.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -21,10 +21,13 @@
 
 	replacedTimeout = 5 * time.Second // the entry of a process that crashed is removed after three beats, 3.6 s
 
-	// A target that does not respond within silentAfter may be hung. This is four
-	// times as long as the first part of an answer takes, and a quarter of the time
-	// that callers wait.
-	silentAfter      = 500 * time.Millisecond
+	// A target may be hung that does not begin its answer within the time in which targets
+	// of its service usually do. The bounds are those of RFC 6298 and of its usual
+	// implementations for round trips.
+	unknownSilence = time.Second // while it is not known how long they take
+	minSilence     = 200 * time.Millisecond
+
+	silentReportAge  = 500 * time.Millisecond  // at which a peer's report of silent targets says nothing any more; peers greet every 400 ms
 	silentProbeAfter = 3500 * time.Millisecond // time since the unanswered send after which the target is tried again
 	silentPenalty    = 1000                    // requests added to the load of a silent target, which makes it the last choice
 )
@@ -214,7 +217,7 @@
 }
 
 // silentTargets returns the targets that are silent to this gateway or, by a
-// report at most silentAfter old, to a peer.
+// report at most silentReportAge old, to a peer.
 func (s State) silentTargets(now time.Time) map[string]bool {
 	ids := s.peers.silentTargets(now)
 	for _, id := range s.Silent(now) {
@@ -251,19 +254,30 @@
 	return s
 }
 
-// silent reports whether the target has not responded for longer than silentAfter
-// and is not yet to be tried again.
-func (v View) silent(now time.Time) bool {
-	elapsed := now.Sub(v.unansweredSince)
-	return !v.unansweredSince.IsZero() && elapsed > silentAfter && elapsed <= silentProbeAfter
+// silence returns how long a target of a service may send nothing before it counts as silent.
+func (s State) silence(service string, now time.Time) time.Duration {
+	known, _ := s.paces.Get(service)
+	measured := known.first
+	if !measured.Known(now) {
+		measured = known.whole
+	}
+	if !measured.Known(now) {
+		return unknownSilence
+	}
+	return max(minSilence, measured.Usual(now))
 }
 
 // Silent returns the sorted IDs of the targets that have not responded to this
-// gateway for longer than silentAfter and are not yet to be tried again.
+// gateway for longer than silence and are not yet to be tried again.
 func (s State) Silent(now time.Time) []string {
 	var ids []string
 	for i := s.views.Iterator(); !i.Done(); {
-		if id, view, _ := i.Next(); view.silent(now) {
+		id, view, _ := i.Next()
+		elapsed := now.Sub(view.unansweredSince)
+		if view.unansweredSince.IsZero() || elapsed > silentProbeAfter {
+			continue
+		}
+		if t, listed := s.Roster.Target(id); listed && elapsed > s.silence(t.Service, now) {
 			ids = append(ids, id)
 		}
 	}
--- a/core/dispatch/peers.go
+++ b/core/dispatch/peers.go
@@ -81,11 +81,11 @@
 }
 
 // silentTargets returns the targets that are silent to a gateway by a report at most
-// silentAfter old.
+// silentReportAge old.
 func (p peerReports) silentTargets(now time.Time) map[string]bool {
 	ids := map[string]bool{}
 	for _, r := range p.silent {
-		if now.Sub(r.reportedAt) > silentAfter {
+		if now.Sub(r.reportedAt) > silentReportAge {
 			continue
 		}
 		for _, id := range r.targets {
