Give up a slow attempt only if another target can answer in the rest of the time

An attempt that may be repeated was given up after half of the time left, whatever targets took. While all of them took longer than that, each answer was cut when it was nearly there, and the repeat, which began with half of the time, was cut by the deadline: the caller got none, and the targets worked for nothing.

Cause: a share of the time without a look at how long answers take. Half is kept, as each of two targets then gets as much; it is used only if answers usually come within it.

TestSlowAnswersAreAwaited: its row of slow targets failed before (a deadline passed after two calls; now the answer after one). The rows of a hung target hold before and after.

--- a/core/dispatch/forecast.go
+++ b/core/dispatch/forecast.go
@@ -39,6 +39,13 @@
 	return s
 }
 
+// AnswerTime returns how long an answer of a service usually takes at most, or 0 if that is not
+// known.
+func (s State) AnswerTime(service string, now time.Time) time.Duration {
+	known, _ := s.paces.Get(service)
+	return known.whole.Usual(now)
+}
+
 // interruption is a time in which no request could be sent to some targets.
 type interruption struct {
 	since time.Time     // zero if there is none now
--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -24,7 +24,7 @@
 	maxAttempts           = 4                      // attempts per request, including those that did not run
 	minAttemptTime        = 20 * time.Millisecond  // with less time left, another attempt can't succeed
 	firstEventReserve     = 100 * time.Millisecond // an attempt without a first event is canceled this long before the event timeout, so that another target can answer
-	attemptTimeoutDivisor = 2                      // an attempt that may be repeated gets 1/attemptTimeoutDivisor of the time left
+	attemptTimeoutDivisor = 2                      // an attempt that may be repeated gets 1/attemptTimeoutDivisor of the time left, and the next one the rest
 	waitPollInterval      = 100 * time.Millisecond // between checks for capacity, since not all freed capacity raises capacityFreed
 )
 
@@ -328,7 +328,8 @@
 
 // attemptTimeout returns how long an attempt may take: on a stream until the answer
 // begins, otherwise until it is complete. 0 means that only the deadline of the
-// request applies.
+// request applies: if targets take longer than half of the time left, another one would
+// not answer in the other half.
 func (d *delivery) attemptTimeout(left time.Duration) time.Duration {
 	if d.admission.Route.Kind == route.Stream {
 		return d.admission.Route.EventTimeout() - firstEventReserve
@@ -336,7 +337,11 @@
 	if !d.admission.Route.Repeatable() || d.possibleRuns+1 >= d.admission.Route.Attempts {
 		return 0
 	}
-	return left / attemptTimeoutDivisor
+	half := left / attemptTimeoutDivisor
+	if d.service.State().AnswerTime(d.admission.Service, d.service.clock()) > half {
+		return 0
+	}
+	return half
 }
 
 // brokenAttempt logs and returns the current attempt, whose answer is not whole. how is
--- a/gateway/serve/wait_test.go
+++ b/gateway/serve/wait_test.go
@@ -48,3 +48,44 @@
 		})
 	}
 }
+
+// TestSlowAnswersAreAwaited checks that a request is given up at a target that is slow, to be
+// repeated at another, only if the other can be expected to answer in the rest of the time.
+func TestSlowAnswersAreAwaited(t *testing.T) {
+	tests := []struct {
+		name  string
+		usual time.Duration // of answers lately
+		takes time.Duration
+		calls int
+	}{
+		{"prompt targets, one hung", 20 * time.Millisecond, time.Hour, 2},
+		{"slow targets", 400 * time.Millisecond, 450 * time.Millisecond, 1},
+		{"nothing known, one hung", 0, time.Hour, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				first := answer("x")
+				first.headDelay = tt.takes
+				second := answer("x")
+				second.headDelay = tt.usual
+				fake := &scriptedTargets{script: []step{first, second}}
+				service := serve.New(newState(), fake, discard{}, discard{})
+				defer service.Close()
+				if tt.usual > 0 {
+					service.Change(func(s dispatch.State, now time.Time) dispatch.State {
+						for range 100 {
+							s = s.WithAnswer("s", tt.usual, now)
+						}
+						return s
+					})
+					synctest.Wait()
+				}
+				outcome := service.Serve(t.Context(), serve.Request{ID: "r", Host: "h", Path: "/again/", Key: "k"}, &caller{})
+				if outcome.Refusal != nil || len(fake.calls) != tt.calls {
+					t.Errorf("refusal = %v after %d calls, want the answer after %d", outcome.Refusal, len(fake.calls), tt.calls)
+				}
+			})
+		})
+	}
+}
