Call the operator's objectives so, and give the platform's limits as reasons

LatencyGoal and GapGoal were described as bounds of what counts as on time, which is how answers are credited. All that the code may take from them is after which gap the callers of a stream leave; names and comments say this. The number of gateways that read the store and the pause between reads were explained by what calls cost; the reasons are the limit on the calls of all machines and the time within which a drain must be noticed.

Looked for in all modules: goal, late, on time, charge, price, retry once.

--- a/core/dispatch/alike_test.go
+++ b/core/dispatch/alike_test.go
@@ -72,7 +72,7 @@
 		var decisions []decision
 		for _, v := range variants {
 			s := state().WithBook(route.NewBook(6, route.WithRoutes(route.Route{
-				Name: "r", Host: "h", Prefix: "/r/", Public: true, Kind: kind, Timeout: v.timeout, LatencyGoal: v.objective, Priority: 2,
+				Name: "r", Host: "h", Prefix: "/r/", Public: true, Kind: kind, Timeout: v.timeout, Objective: v.objective, Priority: 2,
 				Shares: []route.Share{{Service: "s", Weight: 1}},
 			})), at(0)).WithPeerReport("p", map[string]int{"a": load, "b": load}, nil, at(900))
 			for _, id := range []string{"a", "b"} {
--- a/core/route/book_test.go
+++ b/core/route/book_test.go
@@ -90,7 +90,7 @@
 		{"long pause", 400 * time.Millisecond, 500 * time.Millisecond, 4 * time.Second},
 		{"none stated", 0, 0, 2 * time.Second},
 	} {
-		if got := (route.Route{LatencyGoal: tt.latencyGoal, GapGoal: tt.gapGoal}).EventTimeout(); got != tt.want {
+		if got := (route.Route{Objective: tt.latencyGoal, GapObjective: tt.gapGoal}).EventTimeout(); got != tt.want {
 			t.Errorf("%s: EventTimeout = %s, want %s", tt.name, got, tt.want)
 		}
 	}
--- a/core/route/values.go
+++ b/core/route/values.go
@@ -20,32 +20,32 @@
 
 // Route selects a service for the requests of one host and path prefix.
 type Route struct {
-	Name        string
-	Host        string
-	Prefix      string // Prefix begins and ends with a slash.
-	Kind        Kind
-	Timeout     time.Duration // Timeout bounds the time to answer a request.
-	LatencyGoal time.Duration // LatencyGoal is the longest time to an answer, or to a stream's first event, that counts as on time.
-	GapGoal     time.Duration // GapGoal is the longest gap between events of a stream that counts as on time.
-	Priority    int           // Priority orders requests; 0 is the highest.
-	Attempts    int           // Attempts bounds the attempts of a request that may have run; attempts that certainly did not run are not counted.
-	Public      bool          // Public routes need no API key.
-	Resumable   bool          // Resumable means that another run can continue a stream after any event.
-	Shares      []Share       // never written after construction
+	Name         string
+	Host         string
+	Prefix       string // Prefix begins and ends with a slash.
+	Kind         Kind
+	Timeout      time.Duration // Timeout bounds the time to answer a request.
+	Objective    time.Duration // Objective is the operator's objective for the time to a stream's first event; see EventTimeout.
+	GapObjective time.Duration // GapObjective is the operator's objective for the gaps between events of a stream; see EventTimeout.
+	Priority     int           // Priority orders requests; 0 is the highest.
+	Attempts     int           // Attempts bounds the attempts of a request that may have run; attempts that certainly did not run are not counted.
+	Public       bool          // Public routes need no API key.
+	Resumable    bool          // Resumable means that another run can continue a stream after any event.
+	Shares       []Share       // never written after construction
 }
 
 // The platform defines how long a caller of a stream waits for the next event:
 // the longest of these three times.
 const (
-	minEventTimeout   = 2 * time.Second
-	latencyGoalFactor = 4 // times Route.LatencyGoal
-	gapGoalFactor     = 8 // times Route.GapGoal
+	minEventTimeout = 2 * time.Second
+	objectiveFactor = 4 // times Route.Objective
+	gapFactor       = 8 // times Route.GapObjective
 )
 
-// EventTimeout returns how long a caller of a stream waits for each event,
-// including the first.
+// EventTimeout returns how long a caller of a stream waits for each event, including the
+// first, before it leaves.
 func (r Route) EventTimeout() time.Duration {
-	return max(minEventTimeout, latencyGoalFactor*r.LatencyGoal, gapGoalFactor*r.GapGoal)
+	return max(minEventTimeout, objectiveFactor*r.Objective, gapFactor*r.GapObjective)
 }
 
 // Repeatable reports whether a request may safely run more than once.
--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	readInterval         = 700 * time.Millisecond // pause after a read that returned items: store calls are charged for, and a drain must be noticed within 2 s
+	readInterval         = 700 * time.Millisecond // pause after a read that returned items, so that a series of changes takes few of the calls that the store answers to all machines together; a drain must be noticed within 2 s
 	watchDivisor         = 6                      // a watch lasts at most maxStaleness / watchDivisor; see watchTimeout
 	minBackoff           = 100 * time.Millisecond
 	maxBackoff           = 500 * time.Millisecond // the follower must notice well within a second that the store is back
@@ -259,8 +259,8 @@
 }
 
 // skipRead reports whether the gateway leaves reading the store to its peers.
-// Store calls are charged for and limited for all machines together, so only a
-// few of many gateways read. A gateway that can't read the store keeps trying.
+// The store limits the calls of all machines together, so only a few of many
+// gateways read. A gateway that can't read the store keeps trying.
 // If the sync time of a gateway is too old, its peers don't pass on what they
 // read, and it reads the store itself for ownReadTime.
 func (f *Follower) skipRead() bool {
--- a/gateway/serve/wait_test.go
+++ b/gateway/serve/wait_test.go
@@ -32,7 +32,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				book := route.NewBook(6, route.WithServices(route.Service{Name: "s"}), route.WithRoutes(route.Route{
-					Name: "x", Host: "h", Prefix: "/x/", Public: true, Kind: route.AtMostOnce, Timeout: 8 * time.Second, LatencyGoal: tt.objective,
+					Name: "x", Host: "h", Prefix: "/x/", Public: true, Kind: route.AtMostOnce, Timeout: 8 * time.Second, Objective: tt.objective,
 					Attempts: 1, Shares: []route.Share{{Service: "s", Weight: 1}},
 				}))
 				service := serve.New(newState().WithBook(book, time.Now()), &scriptedTargets{script: []step{answer("x")}}, discard{}, discard{})
