Have only those look for a target who may get one, and judge once per forecast

A gateway under overload spent processor time on requests that could not get a place: each freed place woke all that waited, each went through all targets, and each check read the roster three times, also when the last forecast was still good.

Now a freed place wakes the first four, the rest look every 0.1 s as before, and the roster is read once a forecast, not at all while the last one is younger than 0.1 s.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -96,7 +96,7 @@
 		s.queue = s.queue.WithTaken(place, a.Account)
 	}
 	if s.idle.Len() > 0 {
-		s = s.withIdle(a.Service, now)
+		s = s.withIdle(a.Service, false, now)
 	}
 	view := s.View(t.ID)
 	view.InFlight++
--- a/core/dispatch/forecast.go
+++ b/core/dispatch/forecast.go
@@ -107,12 +107,11 @@
 	return wait
 }
 
-// forecast returns the expected course of the queue for a service. Of the places that
+// forecast returns the expected course of the queue for a service with the given targets. Of the places that
 // targets free, a gateway gets those that its own requests leave, or its even share if
 // that is more: gateways that have requests waiting take each other's places.
-func (s State) forecast(service string, now time.Time) forecast {
+func (s State) forecast(service string, serving []roster.Target, now time.Time) forecast {
 	f := forecast{remedy: "no target of the service has room for the request now"}
-	serving := s.Roster.Serving(service, now)
 	departing, gateways := s.departing(serving), float64(s.peers.count()+1)
 	holding := s.holdingTime(service, serving, now)
 	opens := make([]opening, 0, len(serving))
@@ -129,7 +128,7 @@
 	if f.opensAt = first.at; first.remedy != "" {
 		f.remedy = first.remedy
 	}
-	for i, t := range slices.DeleteFunc(serving, func(t roster.Target) bool { return departing[t.ID] }) {
+	for i, t := range slices.DeleteFunc(slices.Clone(serving), func(t roster.Target) bool { return departing[t.ID] }) {
 		load, own := s.loadOf(t, now), s.View(t.ID).InFlight
 		room := float64(max(0, maxLoad(t)-load)) / gateways
 		switch limit := s.statement(t).limit; {
@@ -200,9 +199,9 @@
 }
 
 // withIdle returns the state with the time noted since when a service has no target.
-func (s State) withIdle(service string, now time.Time) State {
+func (s State) withIdle(service string, idle bool, now time.Time) State {
 	known, found := s.idle.Get(service)
-	switch idle := len(s.Roster.Serving(service, now)) == 0; {
+	switch {
 	case idle:
 		s.idle = s.idle.Set(service, known.withBegin(now))
 	case found:
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -10,6 +10,7 @@
 )
 
 const (
+	dueRequests       = 4                      // waiting requests that look for a target when an answer frees one place, several at once included
 	judgeInterval     = 100 * time.Millisecond // between two forecasts for a request that waits
 	doubt             = 2                      // a request that waits is refused if it would wait too long even with this many times fewer before it: it would lose its place for nothing if the forecast were too high
 	retryAfterDivisor = 3                      // callers return after 1/retryAfterDivisor of their time left if they are asked to return later
@@ -20,18 +21,19 @@
 // with its place in the queue, or a refusal. It judges a request that waits already anew.
 // The draw is a uniform random number in [0, 1).
 func (s State) Queue(a Admission, tried []string, draw float64, now time.Time) (State, Admission, *refusal.Refusal) {
-	s = s.withIdle(a.Service, now)
 	if a.Place.Waits() && now.Sub(a.JudgedAt) < judgeInterval && now.Before(a.WaitUntil) {
 		return s, a, nil
 	}
-	f := s.forecast(a.Service, now)
+	serving := s.Roster.Serving(a.Service, now)
+	s = s.withIdle(a.Service, len(serving) == 0, now)
+	f := s.forecast(a.Service, serving, now)
 	if a.Place.Waits() {
 		a.Ahead = s.queue.Expected(a.Place, a.Account) / doubt
 	} else {
 		a.Ahead = s.queue.Expected(s.queue.Next(a.Service, a.Priority), a.Account)
 	}
 	a.JudgedAt, a.Wait, a.WaitUntil = now, f.wait(a.Ahead, now), s.lastStart(a, now)
-	if !now.Before(a.WaitUntil) || now.Add(a.Wait).After(a.WaitUntil) || s.triedAll(a.Service, tried, now) {
+	if !now.Before(a.WaitUntil) || now.Add(a.Wait).After(a.WaitUntil) || triedAll(serving, tried) {
 		s.queue, a.Place = s.queue.Without(a.Place), queue.Place{}
 		return s, a, refused(s.refusalAfter(a, f, a.Wait, draw, now))
 	}
@@ -41,9 +43,8 @@
 	return s, a, nil
 }
 
-// triedAll reports whether a request was tried at all targets of a service.
-func (s State) triedAll(service string, tried []string, now time.Time) bool {
-	serving := s.Roster.Serving(service, now)
+// triedAll reports whether a request was tried at all targets that serve.
+func triedAll(serving []roster.Target, tried []string) bool {
 	return len(serving) > 0 && !slices.ContainsFunc(serving, func(t roster.Target) bool { return !slices.Contains(tried, t.ID) })
 }
 
@@ -74,13 +75,19 @@
 	return s
 }
 
+// Due reports whether a waiting request is among those that may use the places that one
+// answer frees. Only these need to look for a target then.
+func (s State) Due(a Admission) bool {
+	return s.queue.Ahead(a.Place, a.Account, func(queue.Entry) bool { return true }) < dueRequests
+}
+
 // Waiting returns the number of requests that wait for targets.
 func (s State) Waiting() int { return s.queue.Len() }
 
 // Busy returns the refusal of a request that targets did not run for lack of room. The
 // draw is a uniform random number in [0, 1).
 func (s State) Busy(a Admission, draw float64, now time.Time) refusal.Refusal {
-	f := s.forecast(a.Service, now)
+	f := s.forecast(a.Service, s.Roster.Serving(a.Service, now), now)
 	place := s.queue.Next(a.Service, a.Priority)
 	return s.refusalAfter(a, f, f.wait(s.queue.Expected(place, a.Account), now), draw, now)
 }
--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -176,16 +176,30 @@
 		if c.judged == nil || c.refused != nil {
 			return c
 		}
-		timer := time.NewTimer(min(waitPollInterval, d.admission.WaitUntil.Sub(d.service.clock())))
+		d.awaitCapacity(ctx, capacityFreed)
+	}
+	r := d.refusalForContext(ctx)
+	return choice{refused: &r}
+}
+
+// awaitCapacity waits until it is the turn of a waiting request to look for a target again: when
+// capacity was freed and few others precede it, or at the next check.
+func (d *delivery) awaitCapacity(ctx context.Context, capacityFreed <-chan struct{}) {
+	timer := time.NewTimer(min(waitPollInterval, d.admission.WaitUntil.Sub(d.service.clock())))
+	defer timer.Stop()
+	for {
 		select {
 		case <-capacityFreed:
+			if d.service.State().Due(d.admission) {
+				return
+			}
+			capacityFreed = d.service.capacityFreed.Wait()
 		case <-timer.C:
+			return
 		case <-ctx.Done():
+			return
 		}
-		timer.Stop()
 	}
-	r := d.refusalForContext(ctx)
-	return choice{refused: &r}
 }
 
 // sinceSend returns how long ago the current attempt began.
