Test that a broken stream waits for a place while its caller waits

Cause: before waits followed the forecast, a stream that broke off while no target had room was cut at once, though its caller waits two seconds for the next event.

--- a/gateway/serve/wait_test.go
+++ b/gateway/serve/wait_test.go
@@ -89,3 +89,40 @@
 		})
 	}
 }
+
+// TestBrokenStreamWaitsForAPlace checks that a stream that broke off while no target has room is
+// resumed once one has, as long as its caller waits for the next event, and that its caller
+// hears in time that it is not.
+func TestBrokenStreamWaitsForAPlace(t *testing.T) {
+	tests := []struct {
+		name    string
+		fullFor time.Duration
+		resumed bool
+	}{{"soon", 700 * time.Millisecond, true}, {"too late", 10 * time.Second, false}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				broken := answer("id: 1\n\n")
+				broken.breaksOff = true
+				fake := &scriptedTargets{script: []step{broken, answer("id: 2\n\n")}}
+				service := serve.New(newState(), fake, discard{}, discard{})
+				defer service.Close()
+				fake.onSend = func() {
+					fake.onSend = nil
+					loadTargets(service, 6)
+					for at := time.Second; at < tt.fullFor; at += time.Second {
+						time.AfterFunc(at, func() { loadTargets(service, 6) }) // reports of peers get old
+					}
+					time.AfterFunc(tt.fullFor, func() { loadTargets(service, 0) })
+				}
+				start := time.Now()
+				var c caller
+				outcome := service.Serve(t.Context(), serve.Request{ID: "r", Host: "h", Path: "/stream/", Key: "k"}, &c)
+				took := time.Since(start)
+				if resumed := outcome.Refusal == nil && c.body.String() == "id: 1\n\nid: 2\n\n"; resumed != tt.resumed || took >= 2*time.Second {
+					t.Errorf("refusal = %v after %s with %q, want the stream resumed: %t, within the 2 s that callers wait", outcome.Refusal, took, c.body.String(), tt.resumed)
+				}
+			})
+		})
+	}
+}
