--- a/core/dispatch/overload_test.go
+++ b/core/dispatch/overload_test.go
@@ -245,45 +245,6 @@
 	}
 }
 
-// TestOrderAtTargets checks that a request that arrives takes no place that one which waits
-// longer is due, and that a waiting one that has been tried at all free targets blocks nobody.
-func TestOrderAtTargets(t *testing.T) {
-	full := listed(dispatch.New("g", "d1", bounds), 2, 0, process("a", 1, 1), process("b", 1, 2)).
-		WithPeerReport("p", map[string]int{"a": 4, "b": 4}, nil, at(0))
-	place := func(s dispatch.State) dispatch.State {
-		return s.WithPeerReport("p", map[string]int{"a": 3, "b": 4}, nil, at(10))
-	}
-	a := dispatch.Admission{Service: "s", Priority: 1, Arrived: at(0), Deadline: at(5000)}
-	tests := []struct {
-		name     string
-		tried    []string
-		rank     int
-		overtake bool
-	}{
-		{"the same rank", nil, 1, false},
-		{"a lower rank", nil, 2, false},
-		{"a higher rank", nil, 0, true},
-		{"the first can't use the place", []string{"a"}, 1, true},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			s, waiting, refused := full.Queue(a, tt.tried, 0, at(0))
-			if refused != nil {
-				t.Fatal(refused)
-			}
-			s = place(s)
-			later := a
-			later.Priority, later.Arrived = tt.rank, at(10)
-			if _, _, refused := s.Choose(later, nil, lowestRandom{}, at(10)); (refused == nil) != tt.overtake {
-				t.Errorf("the later request was refused with %v, want it to get the place: %t", refused, tt.overtake)
-			}
-			if _, _, refused := s.Choose(waiting, tt.tried, lowestRandom{}, at(10)); (refused == nil) != (tt.tried == nil) {
-				t.Errorf("the waiting request was refused with %v, want it to get the place: %t", refused, tt.tried == nil)
-			}
-		})
-	}
-}
-
 // TestNobodyGainsByWords checks that callers are served alike who differ in what they say of
 // their time, in how short it is, or in how often they come: two halves of twice the load
 // that the targets bear, of different accounts.
@@ -366,26 +327,3 @@
 		})
 	}
 }
-
-// TestReturnsAreSpread checks that callers who are refused together are asked to return at
-// different times, when there is room, and that the time doesn't depend on how much they have
-// left as long as they can be served.
-func TestReturnsAreSpread(t *testing.T) {
-	s := listed(dispatch.New("g", "d1", bounds), 1, 0, process("a", 1, 1)).
-		WithAnswer("s", 400*time.Millisecond, at(0)).WithLimit(process("a", 1, 1), 0, at(0)).
-		WithPause(process("a", 1, 1), 2*time.Second, at(0))
-	for _, left := range []int{12_000, 30_000} {
-		earliest, latest := time.Hour, time.Duration(0)
-		for draw := 0.0; draw < 1; draw += 0.05 {
-			r := s.Busy(dispatch.Admission{Service: "s", Arrived: at(0), Deadline: at(left)}, draw, at(0))
-			earliest, latest = min(earliest, r.RetryAfter), max(latest, r.RetryAfter)
-		}
-		if earliest != 2*time.Second || latest < 2300*time.Millisecond || latest > 2400*time.Millisecond {
-			t.Errorf("with %d ms left asked to return after %s to %s, want the pause of 2 s and up to the 0.4 s that an answer takes", left, earliest, latest)
-		}
-	}
-	r := s.Busy(dispatch.Admission{Service: "s", Arrived: at(0), Deadline: at(2300)}, 0.5, at(0))
-	if r.Retryable {
-		t.Errorf("asked to return after %s, though the answer would come too late", r.RetryAfter)
-	}
-}
--- a/gateway/serve/service.go
+++ b/gateway/serve/service.go
@@ -116,6 +116,9 @@
 	if after.InFlight == 0 {
 		s.idle.Raise()
 	}
+	if before.Waiting() != after.Waiting() {
+		s.meter.Gauge("waiting", float64(after.Waiting()))
+	}
 	if before.InFlight != after.InFlight {
 		s.meter.Gauge("inflight", float64(after.InFlight))
 	}
