--- a/adapter/socket/socket.go
+++ b/adapter/socket/socket.go
@@ -47,7 +47,11 @@
 // Reset closes a connection so that its other end gets an error in place of the end, and
 // its machine drops bytes in flight. Linux still hands out those received before.
 func Reset(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	raw := conn
+	if wrapper, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		raw = wrapper.NetConn()
+	}
+	if tcp, ok := raw.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // fails only if the connection is closed
 	}
 	_ = conn.Close()
