Use the guard in gateways, entry instances and on all probe listeners

They now share one guard in each process. Bodies are reserved as they arrive, for the client account of the key where the book knows it. A body that stops arriving gets 408 and the new refusal kind stalled, or 502 from an entry instance if the request has a ticket, since an earlier request with it may have run.

The guard doesn't have the published limits or the settings memory and connections yet; the fields are made elsewhere.

--- a/adapter/probe/probe.go
+++ b/adapter/probe/probe.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -13,15 +14,13 @@
 	"goji.io"
 	"goji.io/pat"
 
+	"hornbeamtray/adapter/ingress"
 	"hornbeamtray/adapter/platform"
 	"hornbeamtray/adapter/socket"
 	"hornbeamtray/core/trail"
 )
 
-const (
-	headerTimeout   = 5 * time.Second
-	shutdownTimeout = 100 * time.Millisecond
-)
+const shutdownTimeout = 100 * time.Millisecond
 
 // Source provides what a Server shows of its process.
 type Source interface {
@@ -35,29 +34,47 @@
 
 // Server serves one Source.
 type Server struct {
-	server *socket.Server
+	server   *socket.Server
+	guard    *ingress.Guard
+	ownGuard bool // Close closes the guard
+	mux      *goji.Mux
 }
 
-// Option adds a handler to a Server.
-type Option func(*goji.Mux)
+// Option configures a Server.
+type Option func(*Server)
+
+// WithHandler adds a handler for the requests that match pattern.
+func WithHandler(pattern goji.Pattern, handler http.Handler) Option {
+	return func(s *Server) { s.mux.Handle(pattern, handler) }
+}
 
 // WithRelay serves configurations to peers through relay.
 func WithRelay(relay http.Handler) Option {
-	return func(mux *goji.Mux) { mux.Handle(pat.Get(platform.ConfigurationPath), relay) }
+	return WithHandler(pat.Get(platform.ConfigurationPath), relay)
+}
+
+// WithGuard makes guard bound what callers may take, together with the process's other
+// listeners. The default is a guard of its own.
+func WithGuard(guard *ingress.Guard) Option {
+	return func(s *Server) { s.guard = guard }
 }
 
 // New starts a server that serves source and metrics on listener until Close.
 func New(listener net.Listener, source Source, metrics http.Handler, options ...Option) *Server {
-	mux := goji.NewMux()
+	s := &Server{mux: goji.NewMux()}
 	for _, option := range options {
-		option(mux)
+		option(s)
+	}
+	if s.guard == nil {
+		s.guard, s.ownGuard = ingress.New(), true
 	}
-	mux.HandleFunc(pat.Get("/live"), live)
-	mux.Handle(pat.Get("/ready"), ready{source})
-	mux.Handle(pat.Get("/metrics"), metrics)
-	mux.Handle(pat.Get("/show"), show{source})
-	mux.Handle(pat.Get("/trail"), changes{source})
-	return &Server{server: socket.Serve(listener, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})}
+	s.mux.HandleFunc(pat.Get("/live"), live)
+	s.mux.Handle(pat.Get("/ready"), ready{source})
+	s.mux.Handle(pat.Get("/metrics"), metrics)
+	s.mux.Handle(pat.Get("/show"), show{source})
+	s.mux.Handle(pat.Get("/trail"), changes{source})
+	s.server = s.guard.Serve(listener, &http.Server{Handler: s.mux}, ingress.ForProbes())
+	return s
 }
 
 // Close stops accepting requests, waits up to shutdownTimeout for those in flight
@@ -66,7 +83,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	_ = s.server.Drain(ctx)
-	return s.server.Close() // ends the long polls of peers
+	err := s.server.Close() // ends the long polls of peers
+	if s.ownGuard {
+		err = errors.Join(err, s.guard.Close())
+	}
+	return err
 }
 
 func live(w http.ResponseWriter, _ *http.Request) {
--- a/agent/command/command.go
+++ b/agent/command/command.go
@@ -13,6 +13,7 @@
 
 	"hornbeamtray/adapter/clock"
 	"hornbeamtray/adapter/document"
+	"hornbeamtray/adapter/ingress"
 	"hornbeamtray/adapter/journal"
 	"hornbeamtray/adapter/launch"
 	"hornbeamtray/adapter/metric"
@@ -60,7 +61,9 @@
 		return err
 	}
 	defer server.Close()
-	adminServer := probes.New(admin, source{service}, metrics.Handler())
+	guard := ingress.New(ingress.WithMeter(metrics), ingress.WithJournal(log))
+	defer guard.Close()
+	adminServer := probes.New(admin, source{service}, metrics.Handler(), probes.WithGuard(guard))
 	defer adminServer.Close()
 	log.Event("started", "listen", settings.Listen, "admin", settings.Admin, "incarnation", state.Incarnation)
 	<-ctx.Done()
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -28,6 +28,7 @@
 	Key       Kind = "key"       // The caller's key belongs to no client account.
 	Malformed Kind = "malformed" // The request or its ticket is invalid, or its body can't be read.
 	Oversized Kind = "oversized" // The request or its answer exceeds the size limit.
+	Stalled   Kind = "stalled"   // No part of the request's body arrived for too long.
 	Service   Kind = "service"   // The service does not exist, or no route matches the request.
 	Limit     Kind = "limit"     // The client account is over its limit.
 	Busy      Kind = "busy"      // The instance, the target or all targets of the service lack capacity for the request now.
--- a/entry/command/command.go
+++ b/entry/command/command.go
@@ -11,6 +11,7 @@
 
 	"hornbeamtray/adapter/clock"
 	"hornbeamtray/adapter/document"
+	"hornbeamtray/adapter/ingress"
 	"hornbeamtray/adapter/journal"
 	"hornbeamtray/adapter/launch"
 	"hornbeamtray/adapter/metric"
@@ -60,9 +61,11 @@
 	defer follower.Close()
 	instances := platform.FollowInstances(settings.Platform, settings.IP(), service)
 	defer instances.Close()
-	server := front.New(listener, service, metrics, front.WithMaxBodyBytes(settings.MaxBodyBytes), front.WithStallTimeout(time.Duration(settings.StallTimeout)))
+	guard := ingress.New(ingress.WithMeter(metrics), ingress.WithJournal(log))
+	defer guard.Close()
+	server := front.New(listener, service, metrics, front.WithGuard(guard), front.WithMaxBodyBytes(settings.MaxBodyBytes), front.WithStallTimeout(time.Duration(settings.StallTimeout)))
 	defer server.Close()
-	adminServer := probe.New(admin, source{service}, metrics.Handler(), probe.WithRelay(relay))
+	adminServer := probe.New(admin, source{service}, metrics.Handler(), probe.WithGuard(guard), probe.WithRelay(relay))
 	defer adminServer.Close()
 	log.Event("started", "listen", settings.Listen, "admin", settings.Admin, "domain", settings.Domain)
 	<-ctx.Done()
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -7,7 +7,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -18,6 +17,7 @@
 	"goji.io"
 	"goji.io/pat"
 
+	"hornbeamtray/adapter/ingress"
 	"hornbeamtray/adapter/socket"
 	"hornbeamtray/adapter/wire"
 	"hornbeamtray/core/refusal"
@@ -32,12 +32,6 @@
 	LengthTrailer = "Tray-Length"  // LengthTrailer follows a whole answer and carries its length in bytes.
 )
 
-const (
-	headerTimeout  = 5 * time.Second
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 16 << 10
-)
-
 // Service handles requests; serve.Service implements it.
 type Service interface {
 	Serve(ctx context.Context, r serve.Request, out serve.Writer) serve.Outcome
@@ -55,6 +49,8 @@
 
 	service      Service
 	meter        Meter
+	guard        *ingress.Guard
+	ownGuard     bool // Close closes the guard
 	maxBodyBytes int64
 	stallTimeout time.Duration
 }
@@ -73,19 +69,35 @@
 	return func(s *Server) { s.stallTimeout = timeout }
 }
 
+// WithGuard makes guard bound what callers may take, together with the process's other
+// listeners. The default is a guard of its own.
+func WithGuard(guard *ingress.Guard) Option {
+	return func(s *Server) { s.guard = guard }
+}
+
 // New starts a server on listener. It serves until Drain or Close.
 func New(listener net.Listener, service Service, meter Meter, options ...Option) *Server {
 	s := &Server{service: service, meter: meter, maxBodyBytes: 1 << 20, stallTimeout: 30 * time.Second}
 	for _, option := range options {
 		option(s)
 	}
-	s.Server = socket.Serve(listener, &http.Server{
-		Handler: newHandler(s), ReadHeaderTimeout: headerTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	})
+	if s.guard == nil {
+		s.guard, s.ownGuard = ingress.New(), true
+	}
+	s.Server = s.guard.Serve(listener, &http.Server{Handler: newHandler(s)}, ingress.WithRepeats())
 	return s
 }
 
+// Close closes all connections, including those with requests in flight, and waits
+// until the server has stopped.
+func (s *Server) Close() error {
+	err := s.Server.Close()
+	if s.ownGuard {
+		err = errors.Join(err, s.guard.Close())
+	}
+	return err
+}
+
 func newHandler(s *Server) http.Handler {
 	mux := goji.NewMux()
 	mux.HandleFunc(pat.Post("/v1/services/:service/:call"), s.serve)
@@ -111,7 +123,8 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	request, refused := s.readRequest(w, r)
+	request, release, refused := s.readRequest(w, r)
+	defer release()
 	if refused != nil {
 		s.refuse(w, unreadRefusal(r, *refused), ticket.Ticket{})
 		return
@@ -140,7 +153,8 @@
 }
 
 func (s *Server) mint(w http.ResponseWriter, r *http.Request) {
-	request, refused := s.readRequest(w, r)
+	request, release, refused := s.readRequest(w, r)
+	defer release()
 	if refused != nil {
 		s.refuse(w, *refused, ticket.Ticket{})
 		return
@@ -158,39 +172,35 @@
 }
 
 // readRequest reads a request. It refuses a request with an invalid call name or
-// ticket, and one whose body is too large or can't be read within stallTimeout.
-func (s *Server) readRequest(w http.ResponseWriter, r *http.Request) (serve.Request, *refusal.Refusal) {
+// ticket, and one whose body is too large or can't be read within stallTimeout. The function
+// that it returns, which is never nil, releases the memory of the request.
+func (s *Server) readRequest(w http.ResponseWriter, r *http.Request) (serve.Request, func(), *refusal.Refusal) {
 	request := serve.Request{
 		Service: pat.Param(r, "service"), Call: pat.Param(r, "call"),
 		ContentType: r.Header.Get("Content-Type"), KeyDigest: keyDigest(r.Header.Get("Authorization")),
 	}
 	if !isValidCall(request.Call) {
 		refused := refusal.New(refusal.Malformed, refusal.No, "name the call in 1 to 63 lower-case letters, digits and hyphens")
-		return request, &refused
+		return request, func() {}, &refused
 	}
 	if text := r.Header.Get(TicketHeader); text != "" {
 		t, err := wire.ParseTicket(text)
 		if err != nil {
 			refused := refusal.New(refusal.Malformed, refusal.No, trace.UserMessage(err))
-			return request, &refused
+			return request, func() {}, &refused
 		}
 		request.Ticket = &t
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(s.stallTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.maxBodyBytes))
+	body, release, err := s.guard.ReadBody(w, r, "", s.maxBodyBytes)
 	_ = control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		refused := refusal.New(refusal.Oversized, refusal.No, "send a body of at most "+strconv.FormatInt(s.maxBodyBytes, 10)+" bytes")
-		return request, &refused
-	case err != nil:
-		refused := refusal.New(refusal.Malformed, refusal.No, "the body could not be read; send it whole").WithRetry(0)
-		return request, &refused
+	if err != nil {
+		refused := s.bodyRefusal(err)
+		return request, release, &refused
 	}
 	request.Body = body
-	return request, nil
+	return request, release, nil
 }
 
 // answerWriter writes one answer to a caller. It implements serve.Writer.
--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"hornbeamtray/adapter/ingress"
 	"hornbeamtray/core/refusal"
 	"hornbeamtray/core/ticket"
 	"hornbeamtray/entry/serve"
@@ -45,7 +48,7 @@
 
 func serveOne(service Service, r *http.Request) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
-	newHandler(&Server{service: service, meter: noMeter{}, maxBodyBytes: testMaxBodyBytes}).ServeHTTP(w, r)
+	newHandler(&Server{service: service, meter: noMeter{}, guard: ingress.New(), maxBodyBytes: testMaxBodyBytes}).ServeHTTP(w, r)
 	return w
 }
 
@@ -89,10 +92,48 @@
 	}
 }
 
+// stalledBody is a body of which no byte arrives in time.
+type stalledBody struct{}
+
+// Read fails like a read after the deadline.
+func (stalledBody) Read([]byte) (int, error) { return 0, os.ErrDeadlineExceeded }
+
+// TestUnreadBodies checks the refusals of bodies that can't be read, and guards against a
+// status that promises that a request with a ticket, which may have run before, never ran.
+func TestUnreadBodies(t *testing.T) {
+	tests := []struct {
+		name   string
+		body   io.Reader
+		ticket string
+		status int
+		kind   string
+		ran    string
+	}{
+		{"stalled", stalledBody{}, "", 408, "stalled", "no"},
+		{"stalled, with ticket", stalledBody{}, "CgFhKgFiMgFj", 502, "stalled", "unknown"},
+		{"no memory", strings.NewReader(strings.Repeat("x", 50_000)), "", 503, "busy", "no"},
+		{"no memory, with ticket", strings.NewReader(strings.Repeat("x", 50_000)), "CgFhKgFiMgFj", 502, "busy", "unknown"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := httptest.NewRequest("POST", "/v1/services/orders/book", tt.body)
+			if tt.ticket != "" {
+				r.Header.Set(TicketHeader, tt.ticket)
+			}
+			w := httptest.NewRecorder()
+			newHandler(&Server{service: fakeService{}, meter: noMeter{}, guard: ingress.New(ingress.WithMemory(1 << 15)), maxBodyBytes: 1 << 20}).ServeHTTP(w, r)
+			var got RefusalBody
+			if err := json.Unmarshal(w.Body.Bytes(), &got); err != nil || w.Code != tt.status || got.Kind != tt.kind || got.Ran != tt.ran {
+				t.Errorf("got status %d, body %+v, %v; want %d, %s, ran %s", w.Code, got, err, tt.status, tt.kind, tt.ran)
+			}
+		})
+	}
+}
+
 // TestRefusedAlthoughItMayHaveRun guards against a status that says to any HTTP client that a
 // request did not run, on the refusal of one that may have run.
 func TestRefusedAlthoughItMayHaveRun(t *testing.T) {
-	for _, kind := range []refusal.Kind{refusal.Limit, refusal.Busy, refusal.Closing, refusal.Leaving} {
+	for _, kind := range []refusal.Kind{refusal.Limit, refusal.Busy, refusal.Closing, refusal.Leaving, refusal.Stalled} {
 		for _, tt := range []struct {
 			ran     refusal.Ran
 			promise bool
@@ -100,8 +141,8 @@
 			t.Run(string(kind)+" "+string(tt.ran), func(t *testing.T) {
 				refused := refusal.New(kind, tt.ran, "later").WithRetry(time.Second)
 				w := serveOne(fakeService{outcome: serve.Outcome{Refusal: &refused}}, httptest.NewRequest("POST", "/v1/services/orders/book", strings.NewReader("{}")))
-				if promise := w.Code == http.StatusServiceUnavailable || w.Code == http.StatusTooManyRequests; promise != tt.promise {
-					t.Errorf("status is %d, want 429 or 503: %t", w.Code, tt.promise)
+				if promise := w.Code == http.StatusRequestTimeout || w.Code == http.StatusServiceUnavailable || w.Code == http.StatusTooManyRequests; promise != tt.promise {
+					t.Errorf("status is %d, want 408, 429 or 503: %t", w.Code, tt.promise)
 				}
 			})
 		}
@@ -127,7 +168,7 @@
 			w := httptest.NewRecorder()
 			aborted := func() (aborted bool) {
 				defer func() { aborted = recover() == http.ErrAbortHandler }()
-				s := &Server{service: fakeService{outcome: tt.outcome, parts: []string{"abc", "def"}}, meter: noMeter{}, maxBodyBytes: testMaxBodyBytes}
+				s := &Server{service: fakeService{outcome: tt.outcome, parts: []string{"abc", "def"}}, meter: noMeter{}, guard: ingress.New(), maxBodyBytes: testMaxBodyBytes}
 				newHandler(s).ServeHTTP(w, httptest.NewRequest("POST", "/v1/services/orders/book", strings.NewReader("{}")))
 				return false
 			}()
--- a/entry/front/refusal.go
+++ b/entry/front/refusal.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
 
+	"hornbeamtray/adapter/ingress"
 	"hornbeamtray/adapter/wire"
 	"hornbeamtray/core/refusal"
 	"hornbeamtray/core/ticket"
@@ -33,6 +35,7 @@
 	refusal.Key:       http.StatusUnauthorized,
 	refusal.Malformed: http.StatusBadRequest,
 	refusal.Oversized: http.StatusRequestEntityTooLarge,
+	refusal.Stalled:   http.StatusRequestTimeout,
 	refusal.Service:   http.StatusNotFound,
 	refusal.Limit:     http.StatusTooManyRequests,
 	refusal.Busy:      http.StatusServiceUnavailable,
@@ -67,11 +70,24 @@
 	writeJSON(w, statusCode(r), body)
 }
 
-// statusCode returns the HTTP status of a refusal. 429 and 503, which HTTP clients take for
-// "not processed", are for requests that did not run.
+// bodyRefusal returns the refusal of a request whose body could not be read.
+func (s *Server) bodyRefusal(err error) refusal.Refusal {
+	switch {
+	case errors.Is(err, ingress.ErrTooLarge):
+		return refusal.New(refusal.Oversized, refusal.No, "send a body of at most "+strconv.FormatInt(s.maxBodyBytes, 10)+" bytes")
+	case errors.Is(err, ingress.ErrMemory):
+		return refusal.New(refusal.Busy, refusal.No, err.Error()).WithRetry(ingress.RetryAfter)
+	case errors.Is(err, ingress.ErrStalled):
+		return refusal.New(refusal.Stalled, refusal.No, err.Error()).WithRetry(0)
+	}
+	return refusal.New(refusal.Malformed, refusal.No, "the body could not be read; send it whole").WithRetry(0)
+}
+
+// statusCode returns the HTTP status of a refusal. 408, 429 and 503, which HTTP clients take
+// for "not processed", are for requests that did not run.
 func statusCode(r refusal.Refusal) int {
 	status, found := statusByKind[r.Kind]
-	promises := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+	promises := status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
 	if !found || promises && r.Ran != refusal.No {
 		return http.StatusBadGateway
 	}
--- a/gateway/serve/service.go
+++ b/gateway/serve/service.go
@@ -102,6 +102,13 @@
 // BodyLimit returns the maximum size of a request body in bytes, or 0 if it is not known.
 func (s *Service) BodyLimit() int { return s.State().Book.Limits.Body }
 
+// AccountOf returns the name of the client account that an API key belongs to, or "" if it is
+// not known.
+func (s *Service) AccountOf(key string) string {
+	account, _ := s.State().Book.Account(key)
+	return account.Name
+}
+
 // Observe implements control.Observer. It logs the changes of the audit trail,
 // updates metrics, ends attempts of requests of which a part is now quarantined, and raises idle
 // if no request is in flight.
