Reuse the buffers of bodies that grow or are refused

A buffer that a growing body leaves behind stayed in the heap until the next collection, although its reservation was released. Buffers that no body uses any more are now kept in pools by size.

--- a/adapter/ingress/body.go
+++ b/adapter/ingress/body.go
@@ -5,11 +5,15 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 
 	"github.com/gravitational/trace"
 )
 
-const firstBodyBytes = 4 << 10 // size of the buffer before a byte of a body arrived
+const (
+	firstBodyBytes = 4 << 10 // size of the buffer before a byte of a body arrived
+	bufferSizes    = 10      // up to 2 MiB, the last size before the usual limit of bodies
+)
 
 // ReadBody reads the body of a request into memory, which it reserves as the bytes arrive. An
 // empty owner stands for the caller's address. It returns ErrTooLarge if the body has more
@@ -89,30 +93,40 @@
 	for {
 		free := scratch[:] // tells the end of a body that fills its buffer from a longer one
 		if int64(len(buffer)) < most {
-			var err error
-			if buffer, err = grown(buffer, most, reserved); err != nil {
+			next, err := grown(buffer, most, reserved)
+			if err != nil {
+				recycle(buffer)
 				return nil, err
 			}
+			buffer = next
 			free = buffer[len(buffer):cap(buffer)]
 		}
 		n, err := body.Read(free)
 		if &free[0] != &scratch[0] {
 			buffer = buffer[:len(buffer)+n]
 		}
-		var tooLarge *http.MaxBytesError
 		switch {
 		case err == io.EOF:
 			return buffer, nil
-		case errors.As(err, &tooLarge):
-			return nil, ErrTooLarge
-		case isTimeout(err):
-			return nil, ErrStalled
 		case err != nil:
-			return nil, trace.Wrap(err)
+			recycle(buffer)
+			return nil, readError(err)
 		}
 	}
 }
 
+// readError returns the error of ReadBody for that of a read.
+func readError(err error) error {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return ErrTooLarge
+	case isTimeout(err):
+		return ErrStalled
+	}
+	return trace.Wrap(err)
+}
+
 // grown returns buffer with room for at least one more byte, and with a capacity of at most
 // most. While it is copied, the old and the new buffer are reserved.
 func grown(buffer []byte, most int64, reserved *reservation) ([]byte, error) {
@@ -124,12 +138,44 @@
 	if !reserved.resize(old + size) {
 		return nil, ErrMemory
 	}
-	next := make([]byte, len(buffer), size)
-	copy(next, buffer)
+	next := append(newBuffer(size), buffer...)
+	recycle(buffer)
 	reserved.resize(size)
 	return next, nil
 }
 
+// buffers holds buffers of firstBodyBytes, twice that and so on, which no body uses any more.
+// Without them, callers that are refused while their bodies grow would fill the heap with
+// garbage up to the next collection.
+var buffers [bufferSizes]sync.Pool
+
+// bufferSize returns the index in buffers for a size, or -1.
+func bufferSize(size int64) int {
+	for i := range bufferSizes {
+		if size == firstBodyBytes<<i {
+			return i
+		}
+	}
+	return -1
+}
+
+// newBuffer returns an empty buffer with a capacity of size.
+func newBuffer(size int64) []byte {
+	if i := bufferSize(size); i >= 0 {
+		if buffer, ok := buffers[i].Get().(*[]byte); ok {
+			return (*buffer)[:0]
+		}
+	}
+	return make([]byte, 0, size)
+}
+
+// recycle keeps a buffer that no one uses any more.
+func recycle(buffer []byte) {
+	if i := bufferSize(int64(cap(buffer))); i >= 0 {
+		buffers[i].Put(&buffer)
+	}
+}
+
 // endBody records that the current body has arrived. net/http may already wait for the next
 // request.
 func (c *conn) endBody() {
