--- a/core/route/values.go
+++ b/core/route/values.go
@@ -97,7 +97,11 @@
 	HasPriority bool // HasPriority means that Priority replaces the priority of the route.
 }
 
-// Limits holds the limits on requests.
+// Limits holds the limits on requests that operators publish to callers. A field is zero if
+// the configuration gives no usable value for it.
 type Limits struct {
-	Body int // Body is the maximum size of a request body, in bytes.
+	Body        int           // Body is the maximum size of a request body, in bytes.
+	Head        int           // Head is the maximum size of a request's header lines, in bytes.
+	HeadTimeout time.Duration // HeadTimeout bounds the time in which a caller sends a request's head.
+	IdleTimeout time.Duration // IdleTimeout is how long a caller's connection may be idle between two requests.
 }
