Settings for the memory and the connections that callers take

The guard for callers' connections needs its bounds from the settings. Gateways and entry instances have the optional settings memory (33,554,432 bytes by default) and connections (2,000). A gateway replaces values that it can't use, as with its other bounds; an entry instance reports them as faults. The least memory is 16 MiB: one caller gets half of the memory at most, and a head and a body of the published sizes cost 6 MB together.

--- a/adapter/document/gateway.go
+++ b/adapter/document/gateway.go
@@ -31,6 +31,9 @@
 	Linger             TimeBound `json:"linger,omitempty"`  // how long the gateway still serves new requests after the signal to stop
 	GracePeriod        TimeBound `json:"grace"`             // bound on the time from the signal to stop until the process exits
 
+	Memory         Bound `json:"memory,omitempty"`      // bound on the heads and bodies of requests in memory, in bytes
+	MaxConnections Bound `json:"connections,omitempty"` // bound on the connections of callers
+
 	replaced Faults
 }
 
@@ -43,6 +46,13 @@
 // after two failed probes.
 const DefaultGatewayLinger = 2500 * time.Millisecond
 
+// Defaults of the bounds on what callers take. A gateway and an entry instance have them in
+// common.
+const (
+	DefaultMemory      = 32 << 20 // DefaultMemory is for heads and bodies of requests, in bytes; the smallest machines have 184 MB.
+	DefaultConnections = 2000     // DefaultConnections is for callers; the smallest machines have 4,100 descriptors.
+)
+
 // HasRetryBound reports whether MaxExtraRetries applies.
 func (s GatewaySettings) HasRetryBound() bool { return !math.IsInf(float64(s.MaxExtraRetries), 1) }
 
@@ -57,6 +67,11 @@
 const (
 	minRevocationDelay = time.Second // below it, a gateway would refuse keys between two reads of the store
 	maxBound           = 1e6
+
+	minMemory      = 16 << 20 // one caller gets half of it, which holds a head and a body of the published sizes
+	maxMemory      = 1 << 40
+	minConnections = 16 // enough for the load balancer and a few callers
+	maxConnections = 1_000_000
 )
 
 // IP returns the IP that the gateway listens on, or nil if it listens on all addresses.
@@ -64,7 +79,10 @@
 
 // ParseGatewaySettings parses a gateway's settings. An error is of type Faults.
 func ParseGatewaySettings(text []byte) (GatewaySettings, error) {
-	s := GatewaySettings{Linger: TimeBound(DefaultGatewayLinger), MaxExtraRetries: Bound(math.Inf(1))}
+	s := GatewaySettings{
+		Linger: TimeBound(DefaultGatewayLinger), MaxExtraRetries: Bound(math.Inf(1)),
+		Memory: DefaultMemory, MaxConnections: DefaultConnections,
+	}
 	if faults := decode(text, &s); len(faults) > 0 {
 		return s, faults
 	}
@@ -88,6 +106,8 @@
 	s.MaxRevocationDelay = k.timeBound("revoke", s.MaxRevocationDelay, minRevocationDelay, time.Hour, fallbackRevocationDelay)
 	s.Linger = k.timeBound("linger", s.Linger, 0, time.Minute, DefaultGatewayLinger)
 	s.GracePeriod = k.timeBound("grace", s.GracePeriod, time.Second, time.Hour, fallbackGracePeriod)
+	s.Memory = k.bound("memory", s.Memory, minMemory, maxMemory, DefaultMemory)
+	s.MaxConnections = k.bound("connections", s.MaxConnections, minConnections, maxConnections, DefaultConnections)
 	if s.Listen == s.Admin && s.Listen != "" {
 		k.addFault("admin", "the address is the same as listen", "give it a different port")
 	}
--- a/adapter/document/gateway_test.go
+++ b/adapter/document/gateway_test.go
@@ -75,8 +75,9 @@
 	type bounds struct {
 		overshoot, slack, retries float64
 		revoke, grace             time.Duration
+		memory, connections       int
 	}
-	usual := bounds{1.5, 5, 90, 5 * time.Second, 8 * time.Second}
+	usual := bounds{1.5, 5, 90, 5 * time.Second, 8 * time.Second, 64 << 20, 500}
 	tests := []struct {
 		name, path, value string
 		want              func(*bounds)
@@ -109,9 +110,22 @@
 		{"exponent", "grace", `"8e0s"`, func(*bounds) {}, false},
 		{"zero", "grace", `"0s"`, func(b *bounds) { b.grace = time.Second }, true},
 		{"truth value", "grace", `"falses"`, func(b *bounds) { b.grace = 4 * time.Second }, true},
+		{"whole", "memory", "50000000", func(b *bounds) { b.memory = 50_000_000 }, false},
+		{"fraction", "memory", "50000000.5", func(b *bounds) { b.memory = 50_000_000 }, false},
+		{"exponent", "memory", "5e7", func(b *bounds) { b.memory = 50_000_000 }, false},
+		{"zero", "memory", "0", func(b *bounds) { b.memory = 16 << 20 }, true},
+		{"negative", "memory", "-1e400", func(b *bounds) { b.memory = 16 << 20 }, true},
+		{"beyond float64", "memory", "1e400", func(b *bounds) { b.memory = 1 << 40 }, true},
+		{"null", "memory", "null", func(b *bounds) { b.memory = 32 << 20 }, true},
+		{"text", "memory", `"64M"`, func(b *bounds) { b.memory = 32 << 20 }, true},
+		{"whole", "connections", "100", func(b *bounds) { b.connections = 100 }, false},
+		{"exponent", "connections", "1e3", func(b *bounds) { b.connections = 1000 }, false},
+		{"zero", "connections", "0", func(b *bounds) { b.connections = 16 }, true},
+		{"large", "connections", "1e18", func(b *bounds) { b.connections = 1_000_000 }, true},
+		{"truth value", "connections", "true", func(b *bounds) { b.connections = 2000 }, true},
 	}
 	member := func(path string) *regexp.Regexp { return regexp.MustCompile(`"` + path + `": [^,}\s]+`) }
-	text := strings.Replace(gatewaySettings, `"slack"`, `"retries": 90, "slack"`, 1)
+	text := strings.Replace(gatewaySettings, `"slack"`, `"retries": 90, "memory": 67108864, "connections": 500, "slack"`, 1)
 	for _, tt := range tests {
 		t.Run(tt.path+"/"+tt.name, func(t *testing.T) {
 			want := usual
@@ -120,7 +134,7 @@
 			if err != nil {
 				t.Fatalf("the gateway would not start: %v", err)
 			}
-			got := bounds{float64(s.ColdOvershoot), float64(s.ColdSlack), float64(s.MaxExtraRetries), time.Duration(s.MaxRevocationDelay), time.Duration(s.GracePeriod)}
+			got := bounds{float64(s.ColdOvershoot), float64(s.ColdSlack), float64(s.MaxExtraRetries), time.Duration(s.MaxRevocationDelay), time.Duration(s.GracePeriod), s.Memory.Whole(), s.MaxConnections.Whole()}
 			if got != want || !s.HasRetryBound() {
 				t.Errorf("bounds are %+v, want %+v", got, want)
 			}
@@ -130,3 +144,28 @@
 		})
 	}
 }
+
+// TestDefaultsForCallers guards against a process that bounds neither the memory nor the
+// connections that callers take because its settings don't name the bounds.
+func TestDefaultsForCallers(t *testing.T) {
+	gateway, err := document.ParseGatewaySettings([]byte(gatewaySettings))
+	if err != nil || len(gateway.Replaced()) > 0 {
+		t.Fatalf("error is %v and replaced bounds are %v, want none", err, gateway.Replaced())
+	}
+	entry, err := document.ParseEntrySettings([]byte(`{"name": "e", "domain": "d", "listen": "10.0.0.1:1", "admin": "10.0.0.1:2", "platform": "http://10.0.0.9:5"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		program             string
+		memory, connections int
+	}{
+		{"gateway", gateway.Memory.Whole(), gateway.MaxConnections.Whole()},
+		{"entry", int(entry.Memory), entry.MaxConnections},
+	}
+	for _, tt := range tests {
+		if tt.memory != 33_554_432 || tt.connections != 2000 {
+			t.Errorf("%s: %d bytes and %d connections, want 33554432 and 2000", tt.program, tt.memory, tt.connections)
+		}
+	}
+}
--- a/adapter/document/settings.go
+++ b/adapter/document/settings.go
@@ -46,6 +46,9 @@
 	Linger         Duration `json:"linger,omitempty"`   // how long the instance still admits requests after the signal to stop
 	DrainTimeout   Duration `json:"drain,omitempty"`    // bound on the wait for requests in flight at shutdown
 	StallTimeout   Duration `json:"stall,omitempty"`    // bound on receiving a request's body, and on how long a caller may read nothing of its answer
+
+	Memory         int64 `json:"memory,omitempty"`      // bound on the heads and bodies of requests in memory, in bytes
+	MaxConnections int   `json:"connections,omitempty"` // bound on the connections of callers
 }
 
 // AgentSettings are the settings of a target's agent.
@@ -100,6 +103,7 @@
 	s := EntrySettings{
 		MaxBodyBytes: DefaultMaxBodyBytes, MaxInFlight: entry.DefaultInFlight, MaxCalls: 128, AgentTimeout: Duration(entry.DefaultReportTimeout), TicketLifetime: Duration(ticket.Lifetime), MaxTargetWait: Duration(time.Second),
 		Linger: Duration(DefaultLinger), DrainTimeout: Duration(DefaultDrainTimeout), StallTimeout: Duration(DefaultStallTimeout),
+		Memory: DefaultMemory, MaxConnections: DefaultConnections,
 	}
 	if faults := decode(text, &s); len(faults) > 0 {
 		return s, faults
@@ -113,6 +117,8 @@
 	k.urls("peers", s.Peers)
 	k.inRange("body", s.MaxBodyBytes, 1, 3<<20)
 	k.inRange("inflight", int64(s.MaxInFlight), 1, 1_000_000)
+	k.inRange("memory", s.Memory, minMemory, maxMemory)
+	k.inRange("connections", int64(s.MaxConnections), minConnections, maxConnections)
 	k.inRange("calls", int64(s.MaxCalls), 1, 10_000)
 	k.duration("silence", s.AgentTimeout, 100*time.Millisecond, time.Minute)
 	k.duration("patience", s.MaxTargetWait, 0, time.Minute)
