Cut lines of the log that are longer than 4 KiB

The log queues lines of any length. A caller with a path of 16 KiB makes a line of that size with each request that is refused, and 4,096 of these take 67 MB while the output is slow. A line has at most 4 KiB now; a longer one is cut and marked with the bytes cut.

TestLongLines failed before: a line of 1 MiB was queued whole.

--- /dev/null
+++ b/adapter/journal/bounds_test.go
@@ -0,0 +1,43 @@
+package journal
+
+import (
+	"strings"
+	"testing"
+	"unicode/utf8"
+)
+
+// TestLongLines guards against a line that takes as much memory as the text of a caller in
+// it: it is cut, and says so.
+func TestLongLines(t *testing.T) {
+	tests := []struct {
+		name, line string
+		cut        string // mark at the end of the line; empty if the line is whole
+	}{
+		{"short", "I a line\n", ""},
+		{"as long as allowed", strings.Repeat("x", maxLineBytes-1) + "\n", ""},
+		{"one byte longer", strings.Repeat("x", maxLineBytes) + "\n", "… cut=32\n"},
+		{"far longer", strings.Repeat("x", 1<<20) + "\n", "… cut=1044512\n"},
+		{"runes of several bytes", "x" + strings.Repeat("é", maxLineBytes) + "\n", "… cut=4130\n"},
+		{"no line break", strings.Repeat("x", maxLineBytes+100), "… cut=132\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			out := &blockedOutput{unblocked: make(chan struct{})}
+			close(out.unblocked)
+			w := newWriter(out)
+			if n, err := w.Write([]byte(tt.line)); n != len(tt.line) || err != nil {
+				t.Errorf("Write returned %d, %v, want %d", n, err, len(tt.line))
+			}
+			if err := w.Close(); err != nil {
+				t.Fatal(err)
+			}
+			got := out.text.String()
+			if tt.cut == "" && got != tt.line {
+				t.Errorf("the line became %.40q… of %d bytes", got, len(got))
+			}
+			if tt.cut != "" && (len(got) > maxLineBytes || !strings.HasSuffix(got, tt.cut) || !utf8.ValidString(got) || !strings.HasPrefix(tt.line, strings.TrimSuffix(got, tt.cut))) {
+				t.Errorf("the line has %d bytes and ends with %q, want at most %d and the end %q", len(got), got[max(0, len(got)-20):], maxLineBytes, tt.cut)
+			}
+		})
+	}
+}
--- a/adapter/journal/writer.go
+++ b/adapter/journal/writer.go
@@ -1,18 +1,22 @@
 package journal
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
 	"io"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"gopkg.in/tomb.v2"
 	"k8s.io/klog/v2"
 )
 
 const (
+	maxLineBytes       = 4 << 10     // longer lines are cut
+	cutMarkBytes       = 32          // room for the mark at the end of a line that was cut
 	maxPendingLines    = 4096        // capacity of the queue; lines beyond it are dropped and counted
 	dropReportInterval = time.Second // minimum interval between reports of the dropped count
 )
@@ -43,16 +47,31 @@
 	return w
 }
 
-// Write queues a copy of the line, or drops and counts it if the queue is full.
+// Write queues a copy of the line, or drops and counts it if the queue is full. A line over
+// maxLineBytes is cut.
 func (w *Writer) Write(line []byte) (int, error) {
 	select {
-	case w.lines <- append([]byte(nil), line...):
+	case w.lines <- shorten(line):
 	default:
 		w.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// shorten returns a copy of a line, or its beginning with a mark that says how many bytes
+// were cut.
+func shorten(line []byte) []byte {
+	if len(line) <= maxLineBytes {
+		return bytes.Clone(line)
+	}
+	text := bytes.TrimSuffix(line, []byte("\n"))
+	kept := maxLineBytes - cutMarkBytes
+	for kept > 0 && !utf8.RuneStart(text[kept]) {
+		kept--
+	}
+	return fmt.Appendf(append(make([]byte, 0, maxLineBytes), text[:kept]...), "… cut=%d\n", len(text)-kept)
+}
+
 // Dropped returns the number of lines dropped so far because the queue was full or
 // a write failed.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
