Bound the bytes of the log's queue to 4 MiB

The queue of 4,096 lines holds 16 MiB of lines that are cut at 4 KiB, a tenth of the memory of the smallest machines. It holds at most 4 MiB now, with the line that is being written; lines that don't fit are dropped and counted as before, and Write still never blocks.

--- a/adapter/journal/bounds_test.go
+++ b/adapter/journal/bounds_test.go
@@ -1,6 +1,8 @@
 package journal
 
 import (
+	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"unicode/utf8"
@@ -41,3 +43,57 @@
 		})
 	}
 }
+
+// TestQueueBytes guards against a queue of long lines that takes the memory of the process
+// while the output is slow.
+func TestQueueBytes(t *testing.T) {
+	tests := []struct {
+		name     string
+		bytes    int // of each line
+		minLines int // that the queue holds
+	}{
+		{"long lines", maxLineBytes, 1000},
+		{"lines over the limit", 64 << 10, 1000},
+		{"usual lines", 400, maxPendingLines},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			out := &blockedOutput{unblocked: make(chan struct{})}
+			w := newWriter(out)
+			line := []byte(strings.Repeat("x", tt.bytes-1) + "\n")
+			before := heapBytes()
+			const lines = 2 * maxPendingLines
+			for range lines {
+				_, _ = w.Write(line)
+			}
+			if taken := heapBytes() - before; taken > maxPendingBytes+maxPendingBytes/4 {
+				t.Errorf("the queue took %d bytes, want about %d at most", taken, maxPendingBytes)
+			}
+			dropped := int(w.Dropped())
+			if kept := lines - dropped; kept < tt.minLines || kept > maxPendingLines+1 {
+				t.Errorf("%d lines were kept, want %d to %d", kept, tt.minLines, maxPendingLines+1)
+			}
+			close(out.unblocked)
+			if err := w.Close(); err != nil {
+				t.Fatal(err)
+			}
+			if got := strings.Count(out.text.String(), "x\n") + strings.Count(out.text.String(), "… cut="); got != lines-dropped {
+				t.Errorf("%d lines were written, want the %d that were not dropped", got, lines-dropped)
+			}
+			if n := w.pendingBytes.Load(); n != 0 {
+				t.Errorf("%d bytes count as queued after all lines were written", n)
+			}
+			if w := fmt.Sprint("dropped=", dropped); !strings.Contains(out.text.String(), w) {
+				t.Errorf("the output doesn't say %s", w)
+			}
+		})
+	}
+}
+
+// heapBytes returns the memory of live objects.
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- a/adapter/journal/writer.go
+++ b/adapter/journal/writer.go
@@ -18,6 +18,7 @@
 	maxLineBytes       = 4 << 10     // longer lines are cut
 	cutMarkBytes       = 32          // room for the mark at the end of a line that was cut
 	maxPendingLines    = 4096        // capacity of the queue; lines beyond it are dropped and counted
+	maxPendingBytes    = 4 << 20     // of the lines in the queue, with the one that is being written; others are dropped and counted
 	dropReportInterval = time.Second // minimum interval between reports of the dropped count
 )
 
@@ -27,6 +28,8 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
+
+	pendingBytes atomic.Int64 // of the lines in the queue and the one that is being written
 }
 
 // Redirect sends all log lines to out through a Writer, which the caller must close.
@@ -50,14 +53,25 @@
 // Write queues a copy of the line, or drops and counts it if the queue is full. A line over
 // maxLineBytes is cut.
 func (w *Writer) Write(line []byte) (int, error) {
+	queued := shorten(line)
+	if w.pendingBytes.Add(int64(len(queued))) > maxPendingBytes {
+		w.drop(queued)
+		return len(line), nil
+	}
 	select {
-	case w.lines <- shorten(line):
+	case w.lines <- queued:
 	default:
-		w.dropped.Add(1)
+		w.drop(queued)
 	}
 	return len(line), nil
 }
 
+// drop counts a line that is not queued.
+func (w *Writer) drop(line []byte) {
+	w.pendingBytes.Add(-int64(len(line)))
+	w.dropped.Add(1)
+}
+
 // shorten returns a copy of a line, or its beginning with a mark that says how many bytes
 // were cut.
 func shorten(line []byte) []byte {
@@ -90,7 +104,7 @@
 	for {
 		select {
 		case line := <-w.lines:
-			if _, err := w.out.Write(line); err != nil {
+			if w.output(line) != nil {
 				w.dropped.Add(1)
 			}
 		case <-ctx.Done():
@@ -109,7 +123,7 @@
 	for {
 		select {
 		case line := <-w.lines:
-			if _, err := w.out.Write(line); err != nil {
+			if w.output(line) != nil {
 				return
 			}
 		default:
@@ -117,3 +131,10 @@
 		}
 	}
 }
+
+// output writes a line of the queue.
+func (w *Writer) output(line []byte) error {
+	_, err := w.out.Write(line)
+	w.pendingBytes.Add(-int64(len(line)))
+	return err
+}
