Cut long values of an event in the log

A line is cut at its end, so a caller with a long Request-Id or path takes the outcome, the version and the proof out of the lines of its own requests. Each text of an event has at most 1,024 bytes, quoted; a longer one ends with an ellipsis.

TestLongValues failed before in five of its six cases.

--- a/adapter/journal/journal.go
+++ b/adapter/journal/journal.go
@@ -8,12 +8,17 @@
 	"bytes"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"k8s.io/klog/v2"
 
 	"hornbeamtray/core/trail"
 )
 
+// maxValueBytes bounds a quoted value of an event, so that a long one doesn't take the place of
+// those after it: a line holds three such values and the short ones.
+const maxValueBytes = 1 << 10
+
 // Log writes the events of one process.
 type Log struct {
 	instance string
@@ -51,7 +56,7 @@
 	for i, value := range out {
 		switch v := value.(type) {
 		case string:
-			if strings.Contains(v, "\n") {
+			if len(v) > maxValueBytes/4 || strings.Contains(v, "\n") { // a byte is quoted as four at most
 				out[i] = quoted(v)
 			}
 		case error:
@@ -61,12 +66,29 @@
 	return out
 }
 
-// quoted is a text that klog writes quoted, on one line. It writes other texts with line
-// breaks as they are, over several lines, which a caller could make look like other events.
+// quoted is a text that klog writes quoted, on one line, and cut at maxValueBytes. It writes
+// other texts with line breaks as they are, over several lines, which a caller could make look
+// like other events.
 type quoted string
 
 // WriteText writes the text. klog calls it.
-func (q quoted) WriteText(b *bytes.Buffer) { b.WriteString(strconv.Quote(string(q))) }
+func (q quoted) WriteText(b *bytes.Buffer) {
+	b.WriteByte('"')
+	var buffer [16]byte // one rune, quoted
+	size := 0
+	for text := string(q); text != ""; {
+		_, width := utf8.DecodeRuneInString(text)
+		escaped := strconv.AppendQuote(buffer[:0], text[:width])
+		escaped = escaped[1 : len(escaped)-1]
+		if size += len(escaped); size > maxValueBytes {
+			b.WriteString("…")
+			break
+		}
+		b.Write(escaped)
+		text = text[width:]
+	}
+	b.WriteByte('"')
+}
 
 // quotedError is an error whose text klog writes quoted, on one line.
 type quotedError struct{ error }
--- a/adapter/journal/journal_test.go
+++ b/adapter/journal/journal_test.go
@@ -48,3 +48,29 @@
 		})
 	}
 }
+
+// TestLongValues guards against a long text of a caller that hides the rest of an event,
+// since a long line is cut at its end.
+func TestLongValues(t *testing.T) {
+	tests := []struct {
+		name, value string
+		want        string // the value in the log
+	}{
+		{"as long as allowed", strings.Repeat("x", maxValueBytes), `"` + strings.Repeat("x", maxValueBytes) + `"`},
+		{"one byte longer", strings.Repeat("x", maxValueBytes+1), `"` + strings.Repeat("x", maxValueBytes) + `…"`},
+		{"far longer", strings.Repeat("x", 64<<10), `"` + strings.Repeat("x", maxValueBytes) + `…"`},
+		{"escaped bytes", strings.Repeat("\xff", 64<<10), `"` + strings.Repeat(`\xff`, maxValueBytes/4) + `…"`},
+		{"escaped line breaks", strings.Repeat("\n", 64<<10), `"` + strings.Repeat(`\n`, maxValueBytes/2) + `…"`},
+		{"runes of several bytes", "x" + strings.Repeat("é", maxValueBytes), `"x` + strings.Repeat("é", maxValueBytes/2-1) + `…"`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := logged(t, func(l Log) {
+				l.Event("refused", "request", tt.value, "path", tt.value, "error", errors.New(tt.value), "version", 7)
+			})
+			if !strings.HasSuffix(got, " request="+tt.want+" path="+tt.want+" error="+tt.want+" version=7\n") {
+				t.Errorf("the log has %.100q… of %d bytes, want each value as %.20s… of %d bytes", got, len(got), tt.want, len(tt.want))
+			}
+		})
+	}
+}
