Remember at most 256 bytes of a request's ID on a connection to a target

Callers choose the ID, up to the size of a head. Each idle connection to a target kept the ID of its latest request, for logs: up to 16 KiB on each of 8 connections to each target. It keeps the first 256 bytes now; whether an ID was carried before is told by its hash, as before.

--- a/adapter/pool/pool.go
+++ b/adapter/pool/pool.go
@@ -34,6 +34,7 @@
 	maxIdlePerTarget = 8                      // from one pool to one target; small, since the idle connections of all gateways add up at a target
 	userTimeoutMS    = 1500                   // TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged
 	readBufferBytes  = 4 << 10
+	maxLatestBytes   = 256  // of the ID that a connection remembers for logs; callers choose it
 	maxRequests      = 1000 // on one connection; bounds what it remembers of them to 8 kB
 )
 
@@ -81,14 +82,14 @@
 	expiresAt time.Time      // when the pool stops reusing the connection
 	idleSince time.Time
 	carried   []uint64 // hashes of the IDs of the requests that it carried
-	latest    string   // ID of the latest of them; empty if it had none
+	latest    string   // ID of the latest of them, at most maxLatestBytes; empty if it had none
 }
 
 // Carry records that the connection carries a request from now on. It returns how many
-// it carried before, and the ID of the latest of them.
+// it carried before, and the ID of the latest of them, or its begin if it is long.
 func (c *Conn) Carry(id string) (earlier int, previous string) {
 	earlier, previous = len(c.carried), c.latest
-	c.carried, c.latest = append(c.carried, xxhash.Sum64String(id)), id
+	c.carried, c.latest = append(c.carried, xxhash.Sum64String(id)), strings.Clone(id[:min(len(id), maxLatestBytes)])
 	return earlier, previous
 }
 
--- a/gateway/serve/port.go
+++ b/gateway/serve/port.go
@@ -43,7 +43,7 @@
 type Sending struct {
 	Connection string // Connection identifies the connection to the target; empty if there was none.
 	Earlier    int    // Earlier is the number of requests that the connection carried before.
-	Previous   string // Previous is the ID of the latest of them.
+	Previous   string // Previous is the ID of the latest of them, or its begin if it is long.
 	Bytes      int    // Bytes is how many bytes were written, or -1 if that was not known yet.
 }
 
