Refuse tickets whose ID is over 64 bytes

Tickets aren't signed, so a caller can write one with an ID of some 700 bytes. An agent's ledger has up to 100,000 records, each with the ID of its ticket. Entry instances mint IDs of 36 bytes; they refuse tickets with IDs over 64 bytes as malformed now, before the agent sees them.

TestTicketOfLongID failed before with 65 and 600 bytes.

--- a/adapter/wire/convert.go
+++ b/adapter/wire/convert.go
@@ -12,7 +12,10 @@
 	"hornbeamtray/core/ticket"
 )
 
-const maxTicketBytes = 1024
+const (
+	maxTicketBytes = 1024
+	maxIDBytes     = 64 // entry instances mint IDs of 36 bytes; agents keep those of their latest requests
+)
 
 // FromTicket converts a ticket to a message.
 func FromTicket(t ticket.Ticket) *Ticket {
@@ -53,6 +56,9 @@
 	if m.GetId() == "" || m.GetTarget() == "" || m.GetIncarnation() == "" {
 		return ticket.Ticket{}, trace.BadParameter("the ticket is not complete; fetch a new one")
 	}
+	if len(m.GetId()) > maxIDBytes {
+		return ticket.Ticket{}, trace.LimitExceeded("the ticket's ID is over %d bytes; send the ticket as it was given", maxIDBytes)
+	}
 	return ToTicket(m), nil
 }
 
--- a/adapter/wire/ticket_test.go
+++ b/adapter/wire/ticket_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -57,3 +58,18 @@
 	}
 	b.ReportMetric(float64(length), "B/report")
 }
+
+// TestTicketOfLongID guards against tickets that callers write themselves, with long IDs of
+// which an agent keeps as many in its ledger as it has records.
+func TestTicketOfLongID(t *testing.T) {
+	tests := []struct {
+		bytes int
+		valid bool
+	}{{0, false}, {36, true}, {64, true}, {65, false}, {600, false}}
+	for _, tt := range tests {
+		text := TicketText(ticket.New(strings.Repeat("x", tt.bytes), "a", "s", "c", time.UnixMilli(0)).WithTarget("t1", "i1"))
+		if parsed, err := ParseTicket(text); (err == nil) != tt.valid {
+			t.Errorf("ID of %d bytes: %+v, %v; want it valid: %t", tt.bytes, parsed, err, tt.valid)
+		}
+	}
+}
