Set the Go runtime's soft memory limit at the start of a server

The garbage collector lets the heap double between two collections, also when the machine has no memory for that. Servers set the soft limit to three quarters of MemTotal in /proc/meminfo, unless GOMEMLIMIT is set, and log it at the start. If the file can't be read, nothing changes but a log line.

TestLimitMemory and TestServerLimitsMemory pass; without the call the latter fails, as the limit stays as it was.

--- a/adapter/launch/launch.go
+++ b/adapter/launch/launch.go
@@ -75,6 +75,7 @@
 			}
 			lines := journal.Redirect(os.Stdout)
 			defer lines.Close()
+			limitMemory(memoryInfoPath, journal.New(name))
 			return serve(ctx, path, settings)
 		},
 	}
