Bound the lines in the head of a target's answer to 1,024

A head of 64 KiB may have some 16,000 lines, each of which takes an entry of a map and several small values. A faulty target so takes far more of the gateway's memory than the limit on bytes suggests. The lines of a head, of the interim heads and of the heads of answers to earlier requests before it are counted as they are read, and 1,024 are allowed together. Lines of bodies don't count.

--- a/adapter/pool/pool.go
+++ b/adapter/pool/pool.go
@@ -214,13 +214,23 @@
 	return errors.Is(c.limited.failure, io.EOF) || errors.Is(c.limited.failure, syscall.ECONNRESET)
 }
 
-// LimitReads makes Reader fail with ErrTooManyBytes once it has read n more bytes from
-// the connection. Up to one read buffer of bytes that follow counts as read.
-func (c *Conn) LimitReads(n int64) { c.limited.limit(n) }
+// LimitReads makes Reader fail with ErrTooManyBytes once it has read so many more bytes from
+// the connection, and ReadResponse with ErrTooManyLines once the heads that it reads have
+// more lines together. Up to one read buffer of bytes that follow counts as read.
+func (c *Conn) LimitReads(bytes int64, lines int) { c.limited.limit(bytes, lines) }
 
-// UnlimitReads removes the limit.
+// UnlimitReads removes the limits.
 func (c *Conn) UnlimitReads() { c.limited.unlimit() }
 
+// ReadResponse reads the head of a response, whose body Reader then returns.
+func (c *Conn) ReadResponse(request *http.Request) (*http.Response, error) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // can't fail, as it reads nothing
+	if err := c.limited.beginHead(buffered); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(c.reader, request)
+}
+
 // isIdle reports whether the connection is open and has no unread bytes.
 func (c *Conn) isIdle() bool {
 	if c.reader.Buffered() > 0 {
