Bound the head of a response of a source of configurations to 64 KiB

Entry instances and agents read the platform and its relays with the default limit of net/http, 10 MiB, which short header lines make many times as large in memory. The limit is 64 KiB now, as for the other clients.

--- a/adapter/platform/watcher.go
+++ b/adapter/platform/watcher.go
@@ -35,6 +35,7 @@
 	watchTimeout = 30 * time.Second
 	readTimeout  = watchTimeout + 5*time.Second
 	dialTimeout  = time.Second
+	maxHeadBytes = 64 << 10 // of a response
 	minBackoff   = 100 * time.Millisecond
 	maxBackoff   = 2 * time.Second
 )
@@ -110,7 +111,7 @@
 	if local != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: local}
 	}
-	return &http.Client{Timeout: readTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1}}
+	return &http.Client{Timeout: readTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeadBytes}}
 }
 
 // Close stops the watcher and waits until it has stopped.
