Apply the published limits and the settings to the guard, and close bodies that don't end

The guard knew neither the published limits nor the settings. The service passes on the limits of each configuration that comes into force; the programs pass the settings memory and connections.

A caller that sent a byte of a body every 29 s kept its connection open for ever, and as many such callers as there may be connections kept all others out: a connection whose body was arriving counted as carrying a request, which is never closed for another. It counts as waiting now until its body has arrived whole.

--- a/adapter/ingress/body.go
+++ b/adapter/ingress/body.go
@@ -30,12 +30,12 @@
 	}
 	reserved := g.bodyReservation(r, owner, c)
 	body, err = readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, reserved)
-	if err == nil {
-		if c != nil {
-			c.endBody()
-		}
+	if err == nil && (c == nil || c.endBody()) {
 		return body, reserved.release, nil
 	}
+	if err == nil {
+		err = errRefused // the connection was closed for another one
+	}
 	reserved.release()
 	if c != nil && !errors.Is(err, ErrTooLarge) {
 		w.Header().Set("Connection", "close")
@@ -176,15 +176,17 @@
 	}
 }
 
-// endBody records that the current body has arrived. net/http may already wait for the next
-// request.
-func (c *conn) endBody() {
+// endBody records that the current body has arrived. It reports false if the connection was
+// evicted before. net/http may already wait for the next request.
+func (c *conn) endBody() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	held := c.hold()
 	if c.phase == serving {
 		c.open, c.body = false, 0
 		c.arm(0)
 	}
+	return held
 }
 
 // linger bounds the time in which net/http discards the rest of a refused body.
--- a/adapter/ingress/conn.go
+++ b/adapter/ingress/conn.go
@@ -45,8 +45,8 @@
 	index    int // in the set; the guard's lock guards it
 	closing  sync.Once
 
-	// waiting is when the connection began to wait for a request, 0 while it carries one,
-	// and evicted if it was closed for lack of one.
+	// waiting is when the connection began to wait for a request or for its body, 0 while it
+	// carries a whole request, and evicted if it was closed for lack of one.
 	waiting atomic.Int64
 
 	kept *kept // bytes that were received beyond the end of a head, or nil; used only by reads
@@ -183,6 +183,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.first = serving, false
+	if r.ContentLength != 0 {
+		c.waiting.Store(c.guard.now()) // endBody holds it again: a body without end must not keep its connection open for ever
+	}
 	c.partial = c.partial || !c.complete
 	charge := c.partial
 	c.complete = false
--- a/entry/command/command.go
+++ b/entry/command/command.go
@@ -61,7 +61,7 @@
 	defer follower.Close()
 	instances := platform.FollowInstances(settings.Platform, settings.IP(), service)
 	defer instances.Close()
-	guard := ingress.New(ingress.WithMeter(metrics), ingress.WithJournal(log))
+	guard := ingress.New(ingress.WithMemory(settings.Memory), ingress.WithConnections(settings.MaxConnections), ingress.WithMeter(metrics), ingress.WithJournal(log))
 	defer guard.Close()
 	server := front.New(listener, service, metrics, front.WithGuard(guard), front.WithMaxBodyBytes(settings.MaxBodyBytes), front.WithStallTimeout(time.Duration(settings.StallTimeout)))
 	defer server.Close()
--- a/gateway/serve/service.go
+++ b/gateway/serve/service.go
@@ -20,6 +20,7 @@
 	"hornbeamtray/core/quarantine"
 	"hornbeamtray/core/refusal"
 	"hornbeamtray/core/roster"
+	"hornbeamtray/core/route"
 )
 
 const presenceTimeout = 200 * time.Millisecond // a refused connection takes one round trip
@@ -40,6 +41,7 @@
 	abort         context.CancelFunc // cancels abortContext
 	unproven      unprovenAttempts
 	permits       Permits
+	limits        Limits // nil for none
 }
 
 // Random draws uniformly distributed random numbers.
@@ -68,6 +70,18 @@
 	return func(s *Service) { s.permits = permits }
 }
 
+// Limits applies the published limits on requests where requests arrive.
+type Limits interface {
+	// Apply is called on the control goroutine whenever another configuration comes into
+	// force. It must not block.
+	Apply(limits route.Limits)
+}
+
+// WithLimits sets what applies the published limits.
+func WithLimits(limits Limits) Option {
+	return func(s *Service) { s.limits = limits }
+}
+
 // New starts a service with an initial state. Close stops it.
 func New(state dispatch.State, targets Targets, meter Meter, journal Journal, options ...Option) *Service {
 	s := &Service{
@@ -116,6 +130,9 @@
 	s.journal.Changes(before.Trail, after.Trail)
 	if before.Book.Version != after.Book.Version {
 		s.meter.Gauge("version", float64(after.Book.Version))
+		if s.limits != nil {
+			s.limits.Apply(after.Book.Limits)
+		}
 	}
 	if before.QuarantineRevision() != after.QuarantineRevision() {
 		s.unproven.cancel(newlyQuarantined(before, after))
