Don't take a blank line at the end of a stream for a cut event

A stream that ends with three line feeds was whole if they arrived in one read, and broken off if the last came in another: the splitter kept it as the begin of an event.

TestSplitter failed before in the case in parts.

--- a/core/events/splitter.go
+++ b/core/events/splitter.go
@@ -48,8 +48,9 @@
 // is none.
 func (s *Splitter) LastID() string { return s.lastID }
 
-// Partial reports whether the splitter holds an incomplete event.
-func (s *Splitter) Partial() bool { return len(s.partial) > 0 }
+// Partial reports whether the splitter holds an incomplete event. Blank lines after an event
+// are none.
+func (s *Splitter) Partial() bool { return len(bytes.TrimLeft(s.partial, "\n")) > 0 }
 
 // Oversized reports whether the incomplete event is larger than maxEventBytes.
 func (s *Splitter) Oversized() bool { return len(s.partial) > maxEventBytes }
--- a/core/events/splitter_test.go
+++ b/core/events/splitter_test.go
@@ -20,6 +20,8 @@
 		{"event in several parts", []string{"id: 1\nda", "ta: a\n", "\nid: 2"}, []string{"", "", "id: 1\ndata: a\n\n"}, "1", true, 1},
 		{"several at once", []string{"id: 1\n\nid: 2\n\nid: 3\n"}, []string{"id: 1\n\nid: 2\n\n"}, "2", true, 2},
 		{"blank line in two parts", []string{"id:7\ndata: x\n", "\n"}, []string{"", "id:7\ndata: x\n\n"}, "7", false, 1},
+		{"more blank lines after an event", []string{"id: 1\n\n\n"}, []string{"id: 1\n\n\n"}, "1", false, 1},
+		{"more blank lines after an event, in parts", []string{"id: 1\n\n", "\n"}, []string{"id: 1\n\n", ""}, "1", false, 1},
 		{"no ID", []string{"data: x\n\n"}, []string{"data: x\n\n"}, "", false, 1},
 	}
 	for _, tt := range tests {
