Count no event for blank lines in a stream

Each two blank lines counted as an event, or fewer, depending on the reads in which they arrived. A target that sends only blank lines so seemed to be under way with its answer, which clears suspicions against the parts of a prompt.

TestSplitter failed before with blank lines alone and between events.

--- a/core/events/splitter.go
+++ b/core/events/splitter.go
@@ -36,8 +36,7 @@
 	n += searched
 	whole := bytes.Clone(s.partial[:n+len(eventEnd)])
 	s.partial = append(s.partial[:0], s.partial[n+len(eventEnd):]...)
-	s.events += bytes.Count(whole, eventEnd)
-	s.recordLastID(whole)
+	s.record(whole)
 	return whole
 }
 
@@ -55,8 +54,14 @@
 // Oversized reports whether the incomplete event is larger than maxEventBytes.
 func (s *Splitter) Oversized() bool { return len(s.partial) > maxEventBytes }
 
-// recordLastID stores the last event ID found in events.
-func (s *Splitter) recordLastID(events []byte) {
+// record counts complete events and stores the last ID found in them. Blank lines without
+// an event before them count as none.
+func (s *Splitter) record(events []byte) {
+	for event := range bytes.SplitSeq(events, eventEnd) {
+		if len(bytes.TrimLeft(event, "\n")) > 0 {
+			s.events++
+		}
+	}
 	for line := range bytes.Lines(events) {
 		if value, found := bytes.CutPrefix(line, idField); found {
 			s.lastID = strings.TrimSpace(string(value))
--- a/core/events/splitter_test.go
+++ b/core/events/splitter_test.go
@@ -22,6 +22,8 @@
 		{"blank line in two parts", []string{"id:7\ndata: x\n", "\n"}, []string{"", "id:7\ndata: x\n\n"}, "7", false, 1},
 		{"more blank lines after an event", []string{"id: 1\n\n\n"}, []string{"id: 1\n\n\n"}, "1", false, 1},
 		{"more blank lines after an event, in parts", []string{"id: 1\n\n", "\n"}, []string{"id: 1\n\n", ""}, "1", false, 1},
+		{"blank lines alone", []string{"\n\n\n\n"}, []string{"\n\n\n\n"}, "", false, 0},
+		{"blank lines between events", []string{"id: 1\n\n\n", "\n\nid: 2\n\n"}, []string{"id: 1\n\n\n", "\n\nid: 2\n\n"}, "2", false, 2},
 		{"no ID", []string{"data: x\n\n"}, []string{"data: x\n\n"}, "", false, 1},
 	}
 	for _, tt := range tests {
