Bound the Content-Type of a target's answer at the agent

An agent keeps answers until their tickets expire, up to 50,000, and bounds the bytes of their bodies. Their Content-Type isn't counted, and a faulty target may send one of the size of a head, 64 KiB, with each empty answer. An answer whose Content-Type has over 1,024 bytes counts as failed now.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -36,6 +36,7 @@
 	dialTimeout     = 5 * time.Second
 	readBufferBytes = 8 << 10
 	maxHeadBytes    = 64 << 10
+	maxTypeBytes    = 1 << 10 // of a Content-Type, which kept answers hold beside their bytes
 )
 
 // Client sends calls and orders to one target.
@@ -92,7 +93,11 @@
 		return trace.ConnectionProblem(err, "the target sent no response")
 	}
 	defer response.Body.Close()
-	sink.Begin(answer.Head{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type")})
+	contentType := response.Header.Get("Content-Type")
+	if len(contentType) > maxTypeBytes {
+		return trace.BadParameter("the Content-Type of the answer has %d bytes, over the limit of %d", len(contentType), maxTypeBytes)
+	}
+	sink.Begin(answer.Head{Status: response.StatusCode, ContentType: contentType})
 	if err := copyAnswer(ctx, response.Body, sink); err != nil {
 		return err
 	}
