--- a/adapter/pool/pool.go
+++ b/adapter/pool/pool.go
@@ -34,6 +34,7 @@
 	maxIdlePerTarget = 8                      // from one pool to one target; small, since the idle connections of all gateways add up at a target
 	userTimeoutMS    = 1500                   // TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged
 	readBufferBytes  = 4 << 10
+	maxLatestBytes   = 256  // of the ID that a connection remembers for logs; callers choose it
 	maxRequests      = 1000 // on one connection; bounds what it remembers of them to 8 kB
 )
 
@@ -81,14 +82,14 @@
 	expiresAt time.Time      // when the pool stops reusing the connection
 	idleSince time.Time
 	carried   []uint64 // hashes of the IDs of the requests that it carried
-	latest    string   // ID of the latest of them; empty if it had none
+	latest    string   // ID of the latest of them, at most maxLatestBytes; empty if it had none
 }
 
 // Carry records that the connection carries a request from now on. It returns how many
-// it carried before, and the ID of the latest of them.
+// it carried before, and the ID of the latest of them, or its begin if it is long.
 func (c *Conn) Carry(id string) (earlier int, previous string) {
 	earlier, previous = len(c.carried), c.latest
-	c.carried, c.latest = append(c.carried, xxhash.Sum64String(id)), id
+	c.carried, c.latest = append(c.carried, xxhash.Sum64String(id)), strings.Clone(id[:min(len(id), maxLatestBytes)])
 	return earlier, previous
 }
 
@@ -213,13 +214,23 @@
 	return errors.Is(c.limited.failure, io.EOF) || errors.Is(c.limited.failure, syscall.ECONNRESET)
 }
 
-// LimitReads makes Reader fail with ErrTooManyBytes once it has read n more bytes from
-// the connection. Up to one read buffer of bytes that follow counts as read.
-func (c *Conn) LimitReads(n int64) { c.limited.limit(n) }
+// LimitReads makes Reader fail with ErrTooManyBytes once it has read so many more bytes from
+// the connection, and ReadResponse with ErrTooManyLines once the heads that it reads have
+// more lines together. Up to one read buffer of bytes that follow counts as read.
+func (c *Conn) LimitReads(bytes int64, lines int) { c.limited.limit(bytes, lines) }
 
-// UnlimitReads removes the limit.
+// UnlimitReads removes the limits.
 func (c *Conn) UnlimitReads() { c.limited.unlimit() }
 
+// ReadResponse reads the head of a response, whose body Reader then returns.
+func (c *Conn) ReadResponse(request *http.Request) (*http.Response, error) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // can't fail, as it reads nothing
+	if err := c.limited.beginHead(buffered); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(c.reader, request)
+}
+
 // isIdle reports whether the connection is open and has no unread bytes.
 func (c *Conn) isIdle() bool {
 	if c.reader.Buffered() > 0 {
