Read the store without waiting while the sync time is old, as after a pause

Callers saw: a gateway without peers answered 503 to all requests with keys for up to 1.5 s after it woke, though the store answered. Cause: the read that was under way began before the pause and proves nothing recent. The gateway then waited out the interval between two reads (700 ms) if that read returned changes, and the next watch waited for changes (800 ms). Peers' reports hide this where there are any. Change: while the sync time is older than half of the bound, a watch doesn't wait for changes, and no pause follows a read. How long a failed read was allowed to wait is kept from its beginning, so that the time without an answer is computed as before. Why it works: the first such read proves the state current, after which reads wait as usual; it is one more call to the store for each pause.

--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -205,8 +205,8 @@
 			clock.Pause(ctx, readersCheckInterval)
 			continue
 		}
-		began := f.inbox.clock()
-		batch, err := f.read(ctx, full)
+		began, wait := f.inbox.clock(), f.wait(full)
+		batch, err := f.read(ctx, full, wait)
 		switch {
 		case ctx.Err() != nil:
 		case errors.Is(err, ErrCompacted):
@@ -216,7 +216,7 @@
 		case errors.Is(err, ErrUnusable):
 			f.answerUnusable(ctx, err)
 		case err != nil:
-			f.readFailed(ctx, err, began)
+			f.readFailed(ctx, err, began, wait)
 		case roster.Era(batch.Revision) < roster.Era(f.inbox.mirror.Revision()):
 			full = true
 			f.answerUnusable(ctx, errEarlierEra)
@@ -228,7 +228,7 @@
 			f.readSucceeded()
 			f.inbox.mirror.SetStoreAccess(StoreAccess{LastRead: f.inbox.clock(), ReadBegan: batch.ReadAt, LastFailure: f.inbox.mirror.StoreAccess().LastFailure})
 			f.inbox.Apply(batch)
-			if len(batch.Items) > 0 {
+			if len(batch.Items) > 0 && !f.outdated() {
 				clock.Pause(ctx, readInterval)
 			}
 		}
@@ -243,29 +243,36 @@
 		"held_era", roster.Era(held), "held", roster.Number(held), "older", f.inbox.mirror.countNewer(batch))
 }
 
-func (f *Follower) read(ctx context.Context, full bool) (Batch, error) {
+func (f *Follower) read(ctx context.Context, full bool, wait time.Duration) (Batch, error) {
 	if full {
 		return f.store.List(ctx)
 	}
-	return f.store.Watch(ctx, f.inbox.mirror.Revision(), f.wait())
+	return f.store.Watch(ctx, f.inbox.mirror.Revision(), wait)
 }
 
-// wait returns how long a watch may wait for changes.
-func (f *Follower) wait() time.Duration {
-	if f.failingSince.IsZero() {
+// wait returns how long the next read may take without an answer of the store: not at all
+// after a failed read. A watch doesn't wait for changes either if the sync time is so old
+// that the gateway may be refusing keys, as after a pause.
+func (f *Follower) wait(full bool) time.Duration {
+	if f.failingSince.IsZero() && (full || !f.outdated()) {
 		return f.watchTimeout
 	}
 	return 0
 }
 
+// outdated reports whether the sync time is older than any watch leaves it: the process was
+// paused, or the store and the peers didn't respond.
+func (f *Follower) outdated() bool {
+	return f.inbox.clock().Sub(f.inbox.mirror.SyncedAt()) > f.maxStaleness/staleDivisor
+}
+
 // skipRead reports whether the gateway leaves reading the store to its peers.
 // The store limits the calls of all machines together, so only a few of many
 // gateways read. A gateway that can't read the store keeps trying.
 // If the sync time of a gateway is too old, its peers don't pass on what they
 // read, and it reads the store itself for ownReadTime.
 func (f *Follower) skipRead() bool {
-	now := f.inbox.clock()
-	stale := now.Sub(f.inbox.mirror.SyncedAt()) > f.maxStaleness/staleDivisor
+	now, stale := f.inbox.clock(), f.outdated()
 	if stale {
 		f.ownReadsUntil = now.Add(ownReadTime)
 	}
@@ -277,11 +284,11 @@
 	return skip
 }
 
-// readFailed handles a failed read that began at the given time: it lets it be repeated,
-// or, once the store counts as lost, fetches from peers and backs off.
-func (f *Follower) readFailed(ctx context.Context, err error, began time.Time) {
+// readFailed handles a failed read that began at the given time and was allowed to wait: it
+// lets it be repeated, or, once the store counts as lost, fetches from peers and backs off.
+func (f *Follower) readFailed(ctx context.Context, err error, began time.Time, wait time.Duration) {
 	now := f.inbox.clock()
-	silence := now.Sub(began) - f.wait()
+	silence := now.Sub(began) - wait
 	first := f.failingSince.IsZero()
 	if first {
 		f.failingSince, f.failures = now, 0
--- a/gateway/follow/follow_test.go
+++ b/gateway/follow/follow_test.go
@@ -46,6 +46,14 @@
 	s.down, s.compacted = down, compacted
 }
 
+// endWatches lets the waiting watches return without changes.
+func (s *store) endWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *store) since(after uint64, removals bool) follow.Batch {
 	batch := follow.Batch{Revision: s.revision, ReadAt: time.Now()}
 	for _, item := range s.items {
