Take no proof from an answer of the store that is older than what was known

Callers saw nothing yet: the fault was found on reading. A gateway that reads a replica which lags behind would accept keys that were taken away, for as long as the replica lags. Cause: the sync time went on with each answer of the latest era, also with one whose revision is lower than one that the gateway knew when the read began, and that therefore lacks changes that were acknowledged. Evidence: TestLaggingReplica failed before for watches and for listings: "the state counts as up to date by the answers of a replica that lags behind". Change: such an answer counts as unusable, like one of an earlier era: what was read last stays in force, the sync time stands, peers are asked. Only if the store names eras: without them, lower revisions may mean that it came back from an older copy, and all keys would be refused. Why it works: a linearizable read returns at least what was known when it began. A replica that lags, but not behind this gateway, can't be told from the store; there the platform's promise is relied on.

--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -75,6 +75,12 @@
 	return b.ReadAt.After(other.ReadAt)
 }
 
+// behind reports whether the batch is from a replica that lags: its revision is lower than
+// one known when the read began. Without eras, the store may have gone back instead.
+func (b Batch) behind(known uint64) bool {
+	return roster.Era(b.Revision) > 0 && b.Revision < known
+}
+
 // ErrCompacted is wrapped by an error of Watch if the store no longer has the
 // changes after the revision passed to Watch. The caller must then call List.
 var ErrCompacted = errors.New("the history after this revision was dropped")
@@ -87,6 +93,10 @@
 // that the gateway or a peer has read.
 var errEarlierEra = fmt.Errorf("%w: it is of the state before the store went back; the last state read stays in force", ErrUnusable)
 
+// errBehind is the error of a read that returned an earlier state than was known when it
+// began, so that it lacks acknowledged changes.
+var errBehind = fmt.Errorf("%w: it is of a replica that lags behind; the last state read stays in force", ErrUnusable)
+
 // Store reads what the platform publishes.
 type Store interface {
 	// List returns all published items.
@@ -205,8 +215,8 @@
 			clock.Pause(ctx, readersCheckInterval)
 			continue
 		}
-		began, wait := f.inbox.clock(), f.wait(full)
-		batch, err := f.read(ctx, full, wait)
+		began, wait, known := f.inbox.clock(), f.wait(full), f.inbox.mirror.Revision()
+		batch, err := f.read(ctx, full, known, wait)
 		switch {
 		case ctx.Err() != nil:
 		case errors.Is(err, ErrCompacted):
@@ -220,6 +230,8 @@
 		case roster.Era(batch.Revision) < roster.Era(f.inbox.mirror.Revision()):
 			full = true
 			f.answerUnusable(ctx, errEarlierEra)
+		case batch.behind(known):
+			f.answerUnusable(ctx, errBehind)
 		default:
 			if full {
 				f.logListing(batch)
@@ -243,11 +255,11 @@
 		"held_era", roster.Era(held), "held", roster.Number(held), "older", f.inbox.mirror.countNewer(batch))
 }
 
-func (f *Follower) read(ctx context.Context, full bool, wait time.Duration) (Batch, error) {
+func (f *Follower) read(ctx context.Context, full bool, after uint64, wait time.Duration) (Batch, error) {
 	if full {
 		return f.store.List(ctx)
 	}
-	return f.store.Watch(ctx, f.inbox.mirror.Revision(), wait)
+	return f.store.Watch(ctx, after, wait)
 }
 
 // wait returns how long the next read may take without an answer of the store: not at all
