Ask peers for versions that the store lost before a paused gateway uses its copy

Callers saw nothing yet: the fault was found on reading. A configuration takes a key away and is acknowledged, and the store then comes back from a copy without it. A gateway that was paused all the time, or starts, accepted the key from its first listing on until a peer's next report, up to 400 ms. Cause: the listing of the copy counts as a proof that the state is up to date, while the peers hold the higher version, which is the one in force. Evidence: TestLostVersion failed before in the two rows in which peers hold the lost version: "the state was fresh with version 6, want 7". Change: before a gateway with an old sync time applies a listing of a later era than it knows, it asks up to 24 peers for their highest version, fetches it from one that holds a higher one, and applies it first. Why it works: any gateway that was up to date before the store went away holds the highest version and never goes back to a lower one. Gateways with a recent sync time need not ask. What no running peer holds stays lost, as docs/incidents/a-store-that-goes-back.md says.

--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -66,6 +66,15 @@
 	return Batch{Items: slices.DeleteFunc(slices.Clone(b.Items), func(i Item) bool { return i.Version == 0 })}
 }
 
+// version returns the highest version of a value that has one.
+func (b Batch) version() uint64 {
+	var highest uint64
+	for _, item := range b.Items {
+		highest = max(highest, item.Version)
+	}
+	return highest
+}
+
 // LaterThan reports whether the batch is of a later era of the store than another, or of
 // the same one and read later.
 func (b Batch) LaterThan(other Batch) bool {
@@ -111,6 +120,9 @@
 	// FetchNewest returns the changes after a revision from the peer that
 	// synced last, or false if no peer could supply them.
 	FetchNewest(ctx context.Context, after uint64) (Batch, bool)
+	// FetchVersions returns the values that have a version from the peer that holds the
+	// highest one, or false if no peer that responds holds one above the given version.
+	FetchVersions(ctx context.Context, above uint64) (Batch, bool)
 	// EnoughReaders reports whether enough peers read the store and pass on
 	// what they read.
 	EnoughReaders() bool
@@ -235,6 +247,7 @@
 		default:
 			if full {
 				f.logListing(batch)
+				f.fetchLost(ctx, batch, known)
 			}
 			full = false
 			f.readSucceeded()
@@ -255,6 +268,18 @@
 		"held_era", roster.Era(held), "held", roster.Number(held), "older", f.inbox.mirror.countNewer(batch))
 }
 
+// fetchLost applies the versions that a listing of a later era of the store may lack and
+// peers hold. A gateway with a recent sync time knows them: before the store came back, it was
+// up to date. One that was paused or has just started would accept keys by the older copy.
+func (f *Follower) fetchLost(ctx context.Context, batch Batch, known uint64) {
+	if roster.Era(batch.Revision) <= roster.Era(known) || !f.outdated() {
+		return
+	}
+	if lost, found := f.peers.FetchVersions(ctx, max(batch.version(), f.inbox.mirror.Version())); found {
+		f.inbox.Apply(lost)
+	}
+}
+
 func (f *Follower) read(ctx context.Context, full bool, after uint64, wait time.Duration) (Batch, error) {
 	if full {
 		return f.store.List(ctx)
--- a/gateway/follow/follow_test.go
+++ b/gateway/follow/follow_test.go
@@ -121,6 +121,14 @@
 	return p.mirror.Since(after)
 }
 
+func (p peers) FetchVersions(_ context.Context, above uint64) (follow.Batch, bool) {
+	if p.mirror == nil || p.mirror.Version() <= above {
+		return follow.Batch{}, false
+	}
+	batch, _ := p.mirror.Since(0)
+	return batch.Versioned(), true
+}
+
 // control holds the gateway's state.
 type control struct {
 	mu    sync.Mutex
--- a/gateway/peers/era_test.go
+++ b/gateway/peers/era_test.go
@@ -1,6 +1,7 @@
 package peers_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -54,6 +55,36 @@
 	}
 }
 
+// TestFetchVersions checks which versions a gateway gets from its peers when the store came
+// back without them.
+func TestFetchVersions(t *testing.T) {
+	one := startGateway(t, "one", "")
+	two := startGateway(t, "two", one.address)
+	one.mirror.Apply(follow.Batch{Complete: true, Revision: roster.Revision(1, 32), Items: []follow.Item{
+		{Key: "config", Value: []byte{12}, Version: 12, Revision: roster.Revision(1, 32)}, {Key: "a", Revision: roster.Revision(1, 5)},
+	}})
+	tests := []struct {
+		name  string
+		above uint64
+		want  []string
+	}{
+		{"a higher one", 11, []string{"config"}},
+		{"the same one", 12, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			batch, found := two.peers.FetchVersions(t.Context(), tt.above)
+			var keys []string
+			for _, item := range batch.Items {
+				keys = append(keys, item.Key)
+			}
+			if found != (len(tt.want) > 0) || !slices.Equal(keys, tt.want) || batch.Revision != 0 || !batch.ReadAt.IsZero() {
+				t.Errorf("FetchVersions = %+v, %t, want the items %v without a revision and a sync time", batch, found, tt.want)
+			}
+		})
+	}
+}
+
 // TestTargetThatOnlyThisGatewayKnows guards against an item that the store lost and that
 // stays for good at a gateway which learned of the return from one that never knew the item.
 func TestTargetThatOnlyThisGatewayKnows(t *testing.T) {
--- a/gateway/peers/relay.go
+++ b/gateway/peers/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"hornbeamtray/core/roster"
@@ -128,6 +129,61 @@
 	return nil
 }
 
+// FetchVersions returns the values that have a version from the peer that holds the highest
+// one, or false if no peer that responds holds one above the given version. It asks up to
+// tickFanout peers, drawn at random: all that were up to date hold the highest version.
+func (p *Peers) FetchVersions(ctx context.Context, above uint64) (follow.Batch, bool) {
+	addresses := p.addresses()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	addresses = addresses[:min(len(addresses), tickFanout)]
+	askCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	holders := make(chan versionHolder)
+	own := p.newReport(false, false)
+	for _, address := range addresses {
+		p.tomb.Go(versionQuestion{peers: p, ctx: askCtx, address: address, report: own, holders: holders}.run)
+	}
+	best := versionHolder{version: above}
+	for range addresses {
+		if h := <-holders; h.version > best.version {
+			best = h
+		}
+	}
+	if best.address == "" {
+		return follow.Batch{}, false
+	}
+	ctx, cancelFetch := context.WithTimeout(ctx, relayTimeout)
+	defer cancelFetch()
+	batch, found := p.fetchFrom(ctx, best.address, 0)
+	return batch.Versioned(), found
+}
+
+// versionHolder is a peer and the highest version of a value that it holds.
+type versionHolder struct {
+	address string
+	version uint64
+}
+
+// versionQuestion asks one peer for the highest version that it holds. It always sends one
+// holder, which is zero if the peer did not respond.
+type versionQuestion struct {
+	peers   *Peers
+	ctx     context.Context
+	address string
+	report  report
+	holders chan<- versionHolder
+}
+
+func (q versionQuestion) run() error {
+	var response report
+	if q.peers.client.Call(q.ctx, q.address, reportCall, q.report, &response) != nil || !response.Listed {
+		q.holders <- versionHolder{}
+		return nil
+	}
+	q.holders <- versionHolder{address: q.address, version: response.Version}
+	return nil
+}
+
 // fetchFrom requests the changes after a revision from one peer. It returns
 // false if the call failed, or if the peer has never listed everything. ReadAt
 // is computed from the time of the request, so that it is never too late. If the
