Send all that exists to a peer that was away for longer than removals are kept

Callers saw nothing yet: the fault was found on reading. A target that left, or an evacuation that ended, while a gateway was paused stayed in force there for good, if over 1,000 later removals were known by then. Cause: a mirror keeps the latest 1,000 removals for peers. A gateway that asks for the changes since an older revision got none of those that were dropped, and took the peer's revision as covered. Change: a mirror notes the revision of the latest removal that it dropped. A peer that asks for changes since an earlier one gets a complete batch, and removes what is missing, as after a listing of the store. Why it works: what a gateway that has listed the store holds is everything that exists at its revision.

--- a/gateway/follow/mirror.go
+++ b/gateway/follow/mirror.go
@@ -28,6 +28,7 @@
 	version  uint64          // guarded by mu; highest version of an item
 	syncedAt time.Time       // guarded by mu
 	listed   bool            // guarded by mu; set once a complete batch was applied
+	pruned   uint64          // guarded by mu; revision of the latest removal that was dropped
 	access   StoreAccess     // guarded by mu
 }
 
@@ -161,17 +162,21 @@
 	}
 	slices.SortFunc(removed, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
 	for _, item := range removed[:len(removed)-maxRemovals] {
+		m.pruned = item.Revision
 		delete(m.items, item.Key)
 	}
 }
 
-// Since returns all items that changed after a revision, with the removals that
-// were not pruned. It also reports whether a complete batch was ever applied;
-// without one, older items may be missing.
+// Since returns all items that changed after a revision. If removals after it were dropped,
+// the batch is complete instead, so that what is missing was removed. Since also reports
+// whether a complete batch was ever applied; without one, older items may be missing.
 func (m *Mirror) Since(after uint64) (Batch, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	batch := Batch{Revision: m.revision, ReadAt: m.syncedAt}
+	if m.listed && after != 0 && after < m.pruned {
+		batch.Complete, after = true, 0
+	}
 	for _, item := range m.items {
 		if item.Revision > after {
 			batch.Items = append(batch.Items, item)
--- a/gateway/peers/era_test.go
+++ b/gateway/peers/era_test.go
@@ -1,6 +1,7 @@
 package peers_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -99,3 +100,23 @@
 		return len(batch.Items) == 2 && !batch.Items[0].Removed && batch.Items[1].Key == "lost" && batch.Items[1].Lost
 	})
 }
+
+// TestRemovalThatPeerDropped guards against a target that left long ago and stays for good at
+// a gateway that was paused since, as its peer no longer holds the removal.
+func TestRemovalThatPeerDropped(t *testing.T) {
+	listing := follow.Batch{Complete: true, Revision: 2, ReadAt: time.Now().Add(-time.Second), Items: []follow.Item{{Key: "left", Revision: 1}, {Key: "stays", Revision: 2}}}
+	one := startGateway(t, "one", "")
+	one.mirror.Apply(listing)
+	removals := follow.Batch{Revision: 3000, ReadAt: time.Now(), Items: []follow.Item{{Key: "left", Revision: 3, Removed: true}}}
+	for revision := uint64(4); revision <= removals.Revision; revision++ {
+		removals.Items = append(removals.Items, follow.Item{Key: fmt.Sprint("t", revision), Revision: revision, Removed: true})
+	}
+	one.mirror.Apply(removals)
+	two := startGateway(t, "two", one.address)
+	two.mirror.Apply(listing)
+	eventually(t, "the gateway that was paused learns that the target left", func() bool {
+		batch, _ := two.mirror.Since(0)
+		kept := slices.DeleteFunc(batch.Items, func(i follow.Item) bool { return i.Removed })
+		return two.mirror.Revision() == removals.Revision && len(kept) == 1 && kept[0].Key == "stays"
+	})
+}
--- a/gateway/peers/relay.go
+++ b/gateway/peers/relay.go
@@ -19,7 +19,8 @@
 	Listed   bool          `json:"complete"`
 	Items    []item        `json:"items"`
 	Revision uint64        `json:"revision"`
-	SyncAge  time.Duration `json:"age"` // since the sync time of the mirror
+	SyncAge  time.Duration `json:"age"`             // since the sync time of the mirror
+	Whole    bool          `json:"whole,omitempty"` // Items holds everything that exists
 }
 
 type item struct {
@@ -83,7 +84,7 @@
 		return nil, err
 	}
 	batch, listed := p.inbox.Mirror().Since(request.After)
-	response := relayResponse{Listed: listed, Revision: batch.Revision, SyncAge: p.clock().Sub(batch.ReadAt)}
+	response := relayResponse{Listed: listed, Revision: batch.Revision, SyncAge: p.clock().Sub(batch.ReadAt), Whole: batch.Complete}
 	for _, it := range batch.Items {
 		encoded, err := p.compressor.encode(it)
 		if err != nil {
@@ -195,7 +196,7 @@
 		return follow.Batch{}, false // another peer or the store may supply the changes
 	}
 	batch := follow.Batch{Revision: response.Revision, ReadAt: sentAt.Add(-response.SyncAge)}
-	batch.Complete = after != 0 && roster.Era(response.Revision) > roster.Era(after)
+	batch.Complete = response.Whole || after != 0 && roster.Era(response.Revision) > roster.Era(after)
 	for _, it := range response.Items {
 		decoded, err := decode(it)
 		if err != nil {
