--- a/gateway/follow/follow.go
+++ b/gateway/follow/follow.go
@@ -66,6 +66,15 @@
 	return Batch{Items: slices.DeleteFunc(slices.Clone(b.Items), func(i Item) bool { return i.Version == 0 })}
 }
 
+// version returns the highest version of a value that has one.
+func (b Batch) version() uint64 {
+	var highest uint64
+	for _, item := range b.Items {
+		highest = max(highest, item.Version)
+	}
+	return highest
+}
+
 // LaterThan reports whether the batch is of a later era of the store than another, or of
 // the same one and read later.
 func (b Batch) LaterThan(other Batch) bool {
@@ -75,6 +84,12 @@
 	return b.ReadAt.After(other.ReadAt)
 }
 
+// behind reports whether the batch is from a replica that lags: its revision is lower than
+// one known when the read began. Without eras, the store may have gone back instead.
+func (b Batch) behind(known uint64) bool {
+	return roster.Era(b.Revision) > 0 && b.Revision < known
+}
+
 // ErrCompacted is wrapped by an error of Watch if the store no longer has the
 // changes after the revision passed to Watch. The caller must then call List.
 var ErrCompacted = errors.New("the history after this revision was dropped")
@@ -87,6 +102,10 @@
 // that the gateway or a peer has read.
 var errEarlierEra = fmt.Errorf("%w: it is of the state before the store went back; the last state read stays in force", ErrUnusable)
 
+// errBehind is the error of a read that returned an earlier state than was known when it
+// began, so that it lacks acknowledged changes.
+var errBehind = fmt.Errorf("%w: it is of a replica that lags behind; the last state read stays in force", ErrUnusable)
+
 // Store reads what the platform publishes.
 type Store interface {
 	// List returns all published items.
@@ -101,6 +120,9 @@
 	// FetchNewest returns the changes after a revision from the peer that
 	// synced last, or false if no peer could supply them.
 	FetchNewest(ctx context.Context, after uint64) (Batch, bool)
+	// FetchVersions returns the values that have a version from the peer that holds the
+	// highest one, or false if no peer that responds holds one above the given version.
+	FetchVersions(ctx context.Context, above uint64) (Batch, bool)
 	// EnoughReaders reports whether enough peers read the store and pass on
 	// what they read.
 	EnoughReaders() bool
@@ -205,8 +227,8 @@
 			clock.Pause(ctx, readersCheckInterval)
 			continue
 		}
-		began := f.inbox.clock()
-		batch, err := f.read(ctx, full)
+		began, wait, known := f.inbox.clock(), f.wait(full), f.inbox.mirror.Revision()
+		batch, err := f.read(ctx, full, known, wait)
 		switch {
 		case ctx.Err() != nil:
 		case errors.Is(err, ErrCompacted):
@@ -216,19 +238,22 @@
 		case errors.Is(err, ErrUnusable):
 			f.answerUnusable(ctx, err)
 		case err != nil:
-			f.readFailed(ctx, err, began)
+			f.readFailed(ctx, err, began, wait)
 		case roster.Era(batch.Revision) < roster.Era(f.inbox.mirror.Revision()):
 			full = true
 			f.answerUnusable(ctx, errEarlierEra)
+		case batch.behind(known):
+			f.answerUnusable(ctx, errBehind)
 		default:
 			if full {
 				f.logListing(batch)
+				f.fetchLost(ctx, batch, known)
 			}
 			full = false
 			f.readSucceeded()
 			f.inbox.mirror.SetStoreAccess(StoreAccess{LastRead: f.inbox.clock(), ReadBegan: batch.ReadAt, LastFailure: f.inbox.mirror.StoreAccess().LastFailure})
 			f.inbox.Apply(batch)
-			if len(batch.Items) > 0 {
+			if len(batch.Items) > 0 && !f.outdated() {
 				clock.Pause(ctx, readInterval)
 			}
 		}
@@ -243,29 +268,48 @@
 		"held_era", roster.Era(held), "held", roster.Number(held), "older", f.inbox.mirror.countNewer(batch))
 }
 
-func (f *Follower) read(ctx context.Context, full bool) (Batch, error) {
+// fetchLost applies the versions that a listing of a later era of the store may lack and
+// peers hold. A gateway with a recent sync time knows them: before the store came back, it was
+// up to date. One that was paused or has just started would accept keys by the older copy.
+func (f *Follower) fetchLost(ctx context.Context, batch Batch, known uint64) {
+	if roster.Era(batch.Revision) <= roster.Era(known) || !f.outdated() {
+		return
+	}
+	if lost, found := f.peers.FetchVersions(ctx, max(batch.version(), f.inbox.mirror.Version())); found {
+		f.inbox.Apply(lost)
+	}
+}
+
+func (f *Follower) read(ctx context.Context, full bool, after uint64, wait time.Duration) (Batch, error) {
 	if full {
 		return f.store.List(ctx)
 	}
-	return f.store.Watch(ctx, f.inbox.mirror.Revision(), f.wait())
+	return f.store.Watch(ctx, after, wait)
 }
 
-// wait returns how long a watch may wait for changes.
-func (f *Follower) wait() time.Duration {
-	if f.failingSince.IsZero() {
+// wait returns how long the next read may take without an answer of the store: not at all
+// after a failed read. A watch doesn't wait for changes either if the sync time is so old
+// that the gateway may be refusing keys, as after a pause.
+func (f *Follower) wait(full bool) time.Duration {
+	if f.failingSince.IsZero() && (full || !f.outdated()) {
 		return f.watchTimeout
 	}
 	return 0
 }
 
+// outdated reports whether the sync time is older than any watch leaves it: the process was
+// paused, or the store and the peers didn't respond.
+func (f *Follower) outdated() bool {
+	return f.inbox.clock().Sub(f.inbox.mirror.SyncedAt()) > f.maxStaleness/staleDivisor
+}
+
 // skipRead reports whether the gateway leaves reading the store to its peers.
 // The store limits the calls of all machines together, so only a few of many
 // gateways read. A gateway that can't read the store keeps trying.
 // If the sync time of a gateway is too old, its peers don't pass on what they
 // read, and it reads the store itself for ownReadTime.
 func (f *Follower) skipRead() bool {
-	now := f.inbox.clock()
-	stale := now.Sub(f.inbox.mirror.SyncedAt()) > f.maxStaleness/staleDivisor
+	now, stale := f.inbox.clock(), f.outdated()
 	if stale {
 		f.ownReadsUntil = now.Add(ownReadTime)
 	}
@@ -277,11 +321,11 @@
 	return skip
 }
 
-// readFailed handles a failed read that began at the given time: it lets it be repeated,
-// or, once the store counts as lost, fetches from peers and backs off.
-func (f *Follower) readFailed(ctx context.Context, err error, began time.Time) {
+// readFailed handles a failed read that began at the given time and was allowed to wait: it
+// lets it be repeated, or, once the store counts as lost, fetches from peers and backs off.
+func (f *Follower) readFailed(ctx context.Context, err error, began time.Time, wait time.Duration) {
 	now := f.inbox.clock()
-	silence := now.Sub(began) - f.wait()
+	silence := now.Sub(began) - wait
 	first := f.failingSince.IsZero()
 	if first {
 		f.failingSince, f.failures = now, 0
--- a/gateway/follow/follow_test.go
+++ b/gateway/follow/follow_test.go
@@ -46,6 +46,14 @@
 	s.down, s.compacted = down, compacted
 }
 
+// endWatches lets the waiting watches return without changes.
+func (s *store) endWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *store) since(after uint64, removals bool) follow.Batch {
 	batch := follow.Batch{Revision: s.revision, ReadAt: time.Now()}
 	for _, item := range s.items {
@@ -113,6 +121,14 @@
 	return p.mirror.Since(after)
 }
 
+func (p peers) FetchVersions(_ context.Context, above uint64) (follow.Batch, bool) {
+	if p.mirror == nil || p.mirror.Version() <= above {
+		return follow.Batch{}, false
+	}
+	batch, _ := p.mirror.Since(0)
+	return batch.Versioned(), true
+}
+
 // control holds the gateway's state.
 type control struct {
 	mu    sync.Mutex
--- a/gateway/peers/era_test.go
+++ b/gateway/peers/era_test.go
@@ -1,6 +1,8 @@
 package peers_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -54,6 +56,36 @@
 	}
 }
 
+// TestFetchVersions checks which versions a gateway gets from its peers when the store came
+// back without them.
+func TestFetchVersions(t *testing.T) {
+	one := startGateway(t, "one", "")
+	two := startGateway(t, "two", one.address)
+	one.mirror.Apply(follow.Batch{Complete: true, Revision: roster.Revision(1, 32), Items: []follow.Item{
+		{Key: "config", Value: []byte{12}, Version: 12, Revision: roster.Revision(1, 32)}, {Key: "a", Revision: roster.Revision(1, 5)},
+	}})
+	tests := []struct {
+		name  string
+		above uint64
+		want  []string
+	}{
+		{"a higher one", 11, []string{"config"}},
+		{"the same one", 12, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			batch, found := two.peers.FetchVersions(t.Context(), tt.above)
+			var keys []string
+			for _, item := range batch.Items {
+				keys = append(keys, item.Key)
+			}
+			if found != (len(tt.want) > 0) || !slices.Equal(keys, tt.want) || batch.Revision != 0 || !batch.ReadAt.IsZero() {
+				t.Errorf("FetchVersions = %+v, %t, want the items %v without a revision and a sync time", batch, found, tt.want)
+			}
+		})
+	}
+}
+
 // TestTargetThatOnlyThisGatewayKnows guards against an item that the store lost and that
 // stays for good at a gateway which learned of the return from one that never knew the item.
 func TestTargetThatOnlyThisGatewayKnows(t *testing.T) {
@@ -68,3 +100,23 @@
 		return len(batch.Items) == 2 && !batch.Items[0].Removed && batch.Items[1].Key == "lost" && batch.Items[1].Lost
 	})
 }
+
+// TestRemovalThatPeerDropped guards against a target that left long ago and stays for good at
+// a gateway that was paused since, as its peer no longer holds the removal.
+func TestRemovalThatPeerDropped(t *testing.T) {
+	listing := follow.Batch{Complete: true, Revision: 2, ReadAt: time.Now().Add(-time.Second), Items: []follow.Item{{Key: "left", Revision: 1}, {Key: "stays", Revision: 2}}}
+	one := startGateway(t, "one", "")
+	one.mirror.Apply(listing)
+	removals := follow.Batch{Revision: 3000, ReadAt: time.Now(), Items: []follow.Item{{Key: "left", Revision: 3, Removed: true}}}
+	for revision := uint64(4); revision <= removals.Revision; revision++ {
+		removals.Items = append(removals.Items, follow.Item{Key: fmt.Sprint("t", revision), Revision: revision, Removed: true})
+	}
+	one.mirror.Apply(removals)
+	two := startGateway(t, "two", one.address)
+	two.mirror.Apply(listing)
+	eventually(t, "the gateway that was paused learns that the target left", func() bool {
+		batch, _ := two.mirror.Since(0)
+		kept := slices.DeleteFunc(batch.Items, func(i follow.Item) bool { return i.Removed })
+		return two.mirror.Revision() == removals.Revision && len(kept) == 1 && kept[0].Key == "stays"
+	})
+}
