--- a/gateway/peers/pause_test.go
+++ b/gateway/peers/pause_test.go
@@ -168,7 +168,7 @@
 			w.revoke()
 		}
 	}
-	awaitPause(t, w, paused)
+	c.awaitPause(t, w, two, paused)
 	eventually(t, "the gateway accepts the other key after the pause", func() bool {
 		late, kept := w.lateRuns()
 		return kept > 0 || len(late) > 0
@@ -179,16 +179,19 @@
 	}
 }
 
-// awaitPause waits until the pause is over. Some points are passed only when the
-// configuration changes.
-func awaitPause(t *testing.T, w *world, paused <-chan struct{}) {
+// awaitPause waits until the pause is over. Some points are passed only when the configuration
+// changes, and which of them depends on whether the store or the peer is faster. After some
+// changes the gateway therefore loses sight of the store, and regains it, in turn.
+func (c pauseCase) awaitPause(t *testing.T, w *world, two *process, paused <-chan struct{}) {
 	t.Helper()
-	for range 120 {
+	defer two.blind.Store(c.blind)
+	for n := range 120 {
 		select {
 		case <-paused:
 			return
 		case <-time.After(250 * time.Millisecond):
 			w.store.put(bothKeys)
+			two.blind.Store(c.blind != (n >= 4 && n/4%2 == 1))
 		}
 	}
 	t.Fatal("the point of the pause was not passed")
