--- a/adapter/ingress/conn.go
+++ b/adapter/ingress/conn.go
@@ -182,7 +182,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.first = serving, false
+	c.phase, c.first, c.late = serving, false, false
 	if r.ContentLength != 0 {
 		c.waiting.Store(c.guard.now()) // endBody holds it again: a body without end must not keep its connection open for ever
 	}
--- a/adapter/ingress/refuse_test.go
+++ b/adapter/ingress/refuse_test.go
@@ -254,3 +254,18 @@
 		t.Errorf("read %q, %v, want the head", buffer[:n], err)
 	}
 }
+
+// TestBodyAfterLateRead guards against a body without a timeout after a head that the last read
+// after a timeout completed: its caller could keep the connection for ever.
+func TestBodyAfterLateRead(t *testing.T) {
+	g := New()
+	b := shortBounds()
+	b.headTimeout = time.Nanosecond
+	g.bounds.Store(b)
+	raw := dial(t, serveEcho(t, g, nil))
+	_ = raw.SetDeadline(time.Now().Add(5 * time.Second))
+	sendPieces(raw, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n", 1<<20)
+	if got := answers(t, raw, "POST", 1); !strings.HasPrefix(got[0], "408 ") {
+		t.Errorf("a body of which no byte arrives got %q, want 408", got)
+	}
+}
