--- a/adapter/ingress/read.go
+++ b/adapter/ingress/read.go
@@ -25,7 +25,7 @@
 		}
 		n, err := c.fetch(p[:size])
 		if n == 0 {
-			again, refused := c.fail(err)
+			again, refused := c.fail(err, len(p))
 			switch {
 			case refused:
 				return 0, c.refuse(headTimeout, p)
@@ -34,7 +34,7 @@
 			}
 			return 0, err
 		}
-		pass, refused, err := c.take(p[:n])
+		pass, refused, err := c.take(p[:n], len(p))
 		switch {
 		case refused != accepted:
 			return 0, c.refuse(refused, p)
@@ -92,8 +92,8 @@
 
 // fail handles an error of a read. It reports whether to read again, and whether to refuse
 // the caller because its head is late. The read after a timeout finds what arrived
-// while the process was paused.
-func (c *conn) fail(err error) (again, refused bool) {
+// while the process was paused. size is the number of bytes that net/http asked for.
+func (c *conn) fail(err error, size int) (again, refused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !isTimeout(err) || c.own.IsZero() || time.Now().Before(c.own) || !c.external.IsZero() && !time.Now().Before(c.external) {
@@ -104,12 +104,20 @@
 		c.arm(lateReadTimeout)
 		return true, false
 	}
-	return false, c.phase == waitingForHead && !c.complete && c.scan.begun()
+	return false, c.phase == waitingForHead && !c.readsAhead(size) && c.scan.begun()
 }
 
-// take counts the bytes of p, which were received. It returns how many at its front to pass
-// on, or why the caller is refused.
-func (c *conn) take(p []byte) (int, kind, error) {
+// readsAhead reports whether a read for size bytes may be the one with which net/http watches
+// the connection of a request whose head it has. A refusal in place of it would look like the
+// response to this request, which runs. net/http asks for a single byte then; after a body in
+// chunks, only that tells this read from one of a head. The caller holds c.mu.
+func (c *conn) readsAhead(size int) bool {
+	return c.phase == serving || c.complete || c.partial && size == 1
+}
+
+// take counts the bytes of p, which were received for a read of size bytes. It returns how many
+// at its front to pass on, or why the caller is refused.
+func (c *conn) take(p []byte, size int) (int, kind, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -128,7 +136,7 @@
 	begun := c.scan.begun()
 	pass, rest := c.scan.feed(p)
 	c.keep(p[pass : pass+rest])
-	if c.phase == serving || c.complete {
+	if c.readsAhead(size) {
 		return c.takeAhead(p, pass), accepted, nil
 	}
 	if !begun {
--- a/adapter/ingress/refuse_test.go
+++ b/adapter/ingress/refuse_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"hornbeamtray/core/intake"
 )
 
 // TestRefusedHeads checks the response to each head that is refused, that no handler runs for
@@ -269,3 +271,24 @@
 		t.Errorf("a body of which no byte arrives got %q, want 408", got)
 	}
 }
+
+// TestReadAheadAfterChunks guards against a refusal that a caller takes for the response to a
+// request that runs: net/http reads a byte beyond the head that it has before the handler
+// starts, and after a body in chunks the guard doesn't know that this head is complete.
+func TestReadAheadAfterChunks(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	g := New(WithMemory(1 << 20))
+	c := newConn(far, &listener{guard: g, set: &g.callers, bounds: g.bounds.Load})
+	c.partial, c.scan, c.head.free = true, partialScanner(), 0
+	go (&sender{raw: near, text: ordinaryHead + "G", size: 1 << 20, done: make(chan struct{})}).run()
+	buffer := make([]byte, keptBytes)
+	if n, err := c.Read(buffer); string(buffer[:n]) != ordinaryHead || err != nil {
+		t.Fatalf("read %q, %v, want the head", buffer[:n], err)
+	}
+	c.head.resize(0)
+	g.pool = intake.New(0) // the next reservation fails
+	if n, err := c.Read(buffer[:1]); n != 1 || buffer[0] != 'G' || err != nil {
+		t.Errorf("the read beyond the head returned %q, %v, want the next byte", buffer[:n], err)
+	}
+}
