Close connections whose callers read no responses

A caller could send requests to the probes or for refusals, read nothing and so keep each connection for ever. Connections with a request are never closed for another one, so 512 of them kept all others from the probes. Handlers that set no write deadline now get the guard's 30 s without a byte taken.

--- a/adapter/ingress/conn.go
+++ b/adapter/ingress/conn.go
@@ -68,6 +68,8 @@
 	external time.Time // net/http's read deadline
 	applied  time.Time // the earlier of them
 
+	externalWrite time.Time // write deadline of net/http or a handler
+
 	head    reservation
 	content *reservation // of the current body, or nil
 }
--- a/adapter/ingress/guard.go
+++ b/adapter/ingress/guard.go
@@ -38,8 +38,9 @@
 	bounds  atomic.Pointer[bounds] // of callers' listeners
 	tally   tally
 
-	memory      int64
-	callerCount int
+	memory       int64
+	callerCount  int
+	writeTimeout time.Duration // without a byte that the caller takes of a response
 
 	mu      sync.Mutex // guards the following; never held while a connection is read, written or closed
 	pool    intake.Pool
@@ -74,7 +75,7 @@
 
 // New returns a guard with the default limits. Close it after its servers.
 func New(options ...Option) *Guard {
-	g := &Guard{memory: defaultMemory, callerCount: defaultCallers, epoch: time.Now()}
+	g := &Guard{memory: defaultMemory, callerCount: defaultCallers, writeTimeout: defaultWriteTimeout, epoch: time.Now()}
 	for _, option := range options {
 		option(g)
 	}
