Keep connections open on which a body arrives while the server drains

Stopping closed each connection that could be closed for another one, also those with a request whose body was still arriving, so that its caller got no response.

--- a/adapter/ingress/conn.go
+++ b/adapter/ingress/conn.go
@@ -110,6 +110,17 @@
 	return true
 }
 
+// evictBeforeRequest closes the connection unless a request has started.
+func (c *conn) evictBeforeRequest() {
+	c.mu.Lock()
+	since := c.waiting.Load()
+	evicts := c.phase == waitingForHead && since > 0 && c.waiting.CompareAndSwap(since, evicted)
+	c.mu.Unlock()
+	if evicts {
+		_ = c.Close() // a failure means that it is closed
+	}
+}
+
 // hold marks the connection as carrying a request. It reports false if it was evicted.
 func (c *conn) hold() bool {
 	for {
--- a/adapter/ingress/listener.go
+++ b/adapter/ingress/listener.go
@@ -38,14 +38,15 @@
 	}
 }
 
-// closeWaiting closes the connections without a request.
+// closeWaiting closes the connections without a request. Those with a request whose body is
+// still arriving stay open, so that their callers get a response.
 func (l *listener) closeWaiting() {
 	l.guard.mu.Lock()
 	members := append([]*conn(nil), l.set.members...)
 	l.guard.mu.Unlock()
 	for _, c := range members {
 		if c.listener == l {
-			c.evict()
+			c.evictBeforeRequest()
 		}
 	}
 }
--- a/adapter/ingress/listener_test.go
+++ b/adapter/ingress/listener_test.go
@@ -166,6 +166,47 @@
 	}
 }
 
+// TestDrainWithBody guards against a server that stops and closes the connection of a request
+// whose body is still arriving, without a response.
+func TestDrainWithBody(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := New()
+	defer g.Close()
+	server := g.Serve(l, &http.Server{Handler: echo{guard: g, limit: 100}})
+	defer server.Close()
+	inFlight := dial(t, l.Addr().String())
+	sendPieces(inFlight, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhe", 1<<20)
+	waitFor(t, "the body begins", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		for _, c := range g.callers.members {
+			c.mu.Lock()
+			body := c.body
+			c.mu.Unlock()
+			if body == 3 {
+				return true
+			}
+		}
+		return false
+	})
+	sendPieces(dial(t, l.Addr().String()), "GET / HTTP/1.1\r\n", 1<<20)
+	waitFor(t, "the connections are accepted", func() bool { _, open := g.inUse(); return open == 2 })
+	drained := &drain{server: server, done: make(chan error, 1)}
+	go drained.run()
+	waitFor(t, "the connection without a request is closed", func() bool { _, open := g.inUse(); return open < 2 })
+	time.Sleep(50 * time.Millisecond) // a server with this fault closes the other one, too
+	sendPieces(inFlight, "llo", 1<<20)
+	if got := answers(t, inFlight, "POST", 1); got[0] != "200 POST /a hello" {
+		t.Errorf("the request in flight got %q", got)
+	}
+	if err := <-drained.done; err != nil {
+		t.Error(err)
+	}
+}
+
 func TestBounds(t *testing.T) {
 	tests := []struct {
 		descriptors, callers, probes int
