Close connections that are accepted while the server stops

A connection accepted after the others were closed kept net/http waiting for its first request for up to 5 s, longer than a gateway has to drain.

--- a/adapter/ingress/listener.go
+++ b/adapter/ingress/listener.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"sync/atomic"
 
 	"hornbeamtray/core/intake"
 )
@@ -20,6 +21,8 @@
 	set     *set
 	bounds  func() *bounds
 	repeats bool
+
+	stopping atomic.Bool // closeWaiting was called
 }
 
 // Accept waits for a connection and makes room for it.
@@ -31,6 +34,9 @@
 		}
 		c := newConn(raw, l)
 		if l.guard.admit(c) {
+			if l.stopping.Load() {
+				c.evictBeforeRequest() // closeWaiting may not have seen it; net/http would wait for its request
+			}
 			return c, nil
 		}
 		_ = raw.Close() // nothing was received
@@ -41,6 +47,7 @@
 // closeWaiting closes the connections without a request. Those with a request whose body is
 // still arriving stay open, so that their callers get a response.
 func (l *listener) closeWaiting() {
+	l.stopping.Store(true)
 	l.guard.mu.Lock()
 	members := append([]*conn(nil), l.set.members...)
 	l.guard.mu.Unlock()
--- a/adapter/ingress/listener_test.go
+++ b/adapter/ingress/listener_test.go
@@ -1,7 +1,9 @@
 package ingress
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -207,6 +209,29 @@
 	}
 }
 
+// TestAcceptWhileStopping guards against a server that doesn't stop in time because it waits for
+// the first request on a connection that it accepted just before its listener was closed.
+func TestAcceptWhileStopping(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	g := New()
+	pipes := newPipeListener()
+	pipes.accept = make(chan net.Conn, 1)
+	l := &listener{Listener: pipes, guard: g, set: &g.callers, bounds: g.bounds.Load}
+	pipes.accept <- far
+	l.closeWaiting()
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.ErrClosedPipe) {
+		t.Errorf("a read returned %v, want that the connection is closed", err)
+	}
+	if _, open := g.inUse(); open != 0 {
+		t.Errorf("%d connections are open, want none", open)
+	}
+}
+
 func TestBounds(t *testing.T) {
 	tests := []struct {
 		descriptors, callers, probes int
