--- a/adapter/ingress/body.go
+++ b/adapter/ingress/body.go
@@ -42,23 +42,20 @@
 		c.linger()
 	}
 	if refused := bodyKind(err); refused != accepted {
-		g.refused(refused, reserved.owner)
+		g.refused(refused, addressOf(r, c))
 	}
 	return nil, func() {}, err
 }
 
 // bodyReservation returns an empty reservation for the body of a request.
 func (g *Guard) bodyReservation(r *http.Request, owner string, c *conn) *reservation {
+	if owner == "" {
+		owner = addressOf(r, c)
+	}
 	reserved := &reservation{guard: g, owner: owner, free: freeMemory}
 	if c == nil {
-		if owner == "" {
-			reserved.owner, _, _ = net.SplitHostPort(r.RemoteAddr)
-		}
 		return reserved
 	}
-	if owner == "" {
-		reserved.owner = c.owner
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	reserved.free = max(0, freeMemory-c.head.need)
@@ -66,6 +63,15 @@
 	return reserved
 }
 
+// addressOf returns the address of the caller of a request. c is nil if no guard serves it.
+func addressOf(r *http.Request, c *conn) string {
+	if c != nil {
+		return c.owner
+	}
+	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	return host
+}
+
 // bodyKind returns the kind of refusal that an error of ReadBody leads to.
 func bodyKind(err error) kind {
 	switch {
--- a/adapter/ingress/report_test.go
+++ b/adapter/ingress/report_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -59,6 +60,24 @@
 	}
 }
 
+// TestAddressOfBody guards against an account in place of the address by which on-call finds the
+// caller of a refused body.
+func TestAddressOfBody(t *testing.T) {
+	journal := &lines{}
+	g := New(WithMemory(1<<15), WithJournal(journal))
+	raw := dial(t, serveEcho(t, g, echo{guard: g, owner: "account a", limit: 100_000}))
+	sendPieces(raw, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n"+strings.Repeat("x", 90000), 1<<20)
+	if got := answers(t, raw, "POST", 1); !strings.HasPrefix(got[0], "503 ") {
+		t.Fatalf("got %q, want 503", got)
+	}
+	if err := g.Close(); err != nil {
+		t.Error(err)
+	}
+	if want := "callers refused[kind memory count 1 address 127.0.0.1]"; !slices.Contains(journal.list, want) {
+		t.Errorf("logged %q, want %q", journal.list, want)
+	}
+}
+
 // BenchmarkHead measures a request without a body on a connection in use: with the guard and
 // with net/http alone.
 func BenchmarkHead(b *testing.B) {
