Make the tests of late reads and slow readers independent of load

The late read now finds its bytes waiting in a pipe, and a reader may take four times as long as it means to before its response is cut off.

--- a/adapter/ingress/refuse_test.go
+++ b/adapter/ingress/refuse_test.go
@@ -264,10 +264,17 @@
 	b := shortBounds()
 	b.headTimeout = time.Nanosecond
 	g.bounds.Store(b)
-	raw := dial(t, serveEcho(t, g, nil))
-	_ = raw.SetDeadline(time.Now().Add(5 * time.Second))
-	sendPieces(raw, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n", 1<<20)
-	if got := answers(t, raw, "POST", 1); !strings.HasPrefix(got[0], "408 ") {
+	near, far := net.Pipe()
+	defer near.Close()
+	l := newPipeListener()
+	server := g.Serve(l, &http.Server{Handler: echo{guard: g, limit: 100}})
+	defer g.Close()
+	defer server.Close()
+	_ = near.SetDeadline(time.Now().Add(5 * time.Second))
+	go (&sender{raw: near, text: "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n", size: 1 << 20, done: make(chan struct{})}).run()
+	time.Sleep(5 * time.Millisecond) // the sender waits for the server to read
+	l.accept <- far
+	if got := answers(t, near, "POST", 1); !strings.HasPrefix(got[0], "408 ") {
 		t.Errorf("a body of which no byte arrives got %q, want 408", got)
 	}
 }
--- a/adapter/ingress/write_test.go
+++ b/adapter/ingress/write_test.go
@@ -31,7 +31,7 @@
 // slower than the server writes it.
 func TestSlowReader(t *testing.T) {
 	g := New()
-	g.writeTimeout = 200 * time.Millisecond
+	g.writeTimeout = time.Second
 	near, far := net.Pipe()
 	defer near.Close()
 	l := newPipeListener()
@@ -41,7 +41,7 @@
 	defer server.Close()
 	l.accept <- far
 	sendPieces(near, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", 1<<20)
-	reader := bufio.NewReader(pausing{near})
+	reader := bufio.NewReaderSize(pausing{near}, writePieceBytes)
 	response, err := http.ReadResponse(reader, nil)
 	if err != nil {
 		t.Fatal(err)
@@ -51,11 +51,12 @@
 	}
 }
 
-// pausing waits before each read, less than the timeout of a write.
+// pausing waits before each read, less than the timeout of a write; all reads of the test together
+// take longer.
 type pausing struct{ net.Conn }
 
 func (p pausing) Read(b []byte) (int, error) {
-	time.Sleep(60 * time.Millisecond)
+	time.Sleep(250 * time.Millisecond)
 	return p.Conn.Read(b)
 }
 
