--- a/adapter/ingress/conn.go
+++ b/adapter/ingress/conn.go
@@ -68,6 +68,8 @@
 	external time.Time // net/http's read deadline
 	applied  time.Time // the earlier of them
 
+	externalWrite time.Time // write deadline of net/http or a handler
+
 	head    reservation
 	content *reservation // of the current body, or nil
 }
@@ -108,6 +110,17 @@
 	return true
 }
 
+// evictBeforeRequest closes the connection unless a request has started.
+func (c *conn) evictBeforeRequest() {
+	c.mu.Lock()
+	since := c.waiting.Load()
+	evicts := c.phase == waitingForHead && since > 0 && c.waiting.CompareAndSwap(since, evicted)
+	c.mu.Unlock()
+	if evicts {
+		_ = c.Close() // a failure means that it is closed
+	}
+}
+
 // hold marks the connection as carrying a request. It reports false if it was evicted.
 func (c *conn) hold() bool {
 	for {
@@ -182,7 +195,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.first = serving, false
+	c.phase, c.first, c.late = serving, false, false
 	if r.ContentLength != 0 {
 		c.waiting.Store(c.guard.now()) // endBody holds it again: a body without end must not keep its connection open for ever
 	}
