Plan a switch anew if the demand shifts while ranks copy, and repeat orders without an answer

Cause: (1) a switch that was being prepared when the demand shifted was carried out first, for demand that had gone; (2) a rank that left a Prepare or an Arm unanswered got it again only after the timeout of 0.6 s that is meant for maps on narrow links, or in the next round. Change: the demand is measured while ranks copy, too, and a switch is given up if the next map would need another switch at once, up to three times in a row; no rank is armed then, and versions rise. A steward repeats a Prepare or an Arm to its own rank after 120 or 20 ms, three times in all; a Hold is never repeated, since a late one keeps a pass from beginning.

--- a/core/switching/coordinator.go
+++ b/core/switching/coordinator.go
@@ -149,6 +149,20 @@
 	return c.enter(Preparing)
 }
 
+// WithoutSwitch returns the coordinator after it gave up a switch for which the ranks still
+// copy experts. No rank is armed yet, so there is nothing to undo, and a late Prepare has a
+// lower version than those of later switches.
+func (c Coordinator) WithoutSwitch() Coordinator {
+	if c.Phase != Preparing {
+		return c
+	}
+	c.next = nil
+	return c.enter(Idle)
+}
+
+// Next returns the map of the switch in progress, or nil if there is none.
+func (c Coordinator) Next() Map { return c.next }
+
 func (c Coordinator) enter(phase Phase) Coordinator {
 	c.Phase, c.rounds, c.armed, c.accepted, c.refused = phase, 0, nil, nil, false
 	return c
--- a/steward/lead/lead.go
+++ b/steward/lead/lead.go
@@ -34,6 +34,8 @@
 
 	skewTrigger = 1.75 // a layer set with a higher ratio of its skew to expert.MinSkew gets a new placement
 	skewTarget  = 1.35 // the ratio at which the search for a new placement stops
+
+	maxRenewals = 3 // switches in a row that are given up for a new plan while ranks copy; demand that shifts faster than that is never caught up with
 )
 
 // Lead leads the own group if the own rank is 0, and acts as its guardian if the own
@@ -51,6 +53,7 @@
 	group        string
 	cache        observationCache
 	coordinator  switching.Coordinator
+	planned      plannedSwitch
 	leading      bool
 	targetLost   bool
 	roundEndedAt time.Time // when the last round ended
@@ -114,7 +117,7 @@
 		}
 		return
 	}
-	observed := l.ranks.ObserveAll(ctx, own.Group, own, l.coordinator.Phase == switching.Idle && l.demand.due(l.clock()))
+	observed := l.ranks.ObserveAll(ctx, own.Group, own, l.measures() && l.demand.due(l.clock()))
 	l.demand.add(observed, shape, l.clock())
 	observed = l.cache.fill(ctx, l.ranks, own, observed, l.leading && l.coordinator.Phase == switching.Idle, l.clock())
 	statuses := statusesOf(observed, own.Status.Epoch)
@@ -131,6 +134,7 @@
 		}
 		l.startLeading(own, observed, statuses, shape)
 	}
+	l.giveUpOutdated(observed, shape)
 	l.advance(ctx, statuses)
 	if l.coordinator.Phase == switching.Idle && l.demand.enough() && settled(statuses, own.Status.Size, own.Status.Epoch) {
 		l.plan(ctx, observed, statuses, shape)
@@ -238,10 +242,7 @@
 // plan begins a switch if the demand no longer fits the placement.
 func (l *Lead) plan(ctx context.Context, observed map[int]Observation, statuses switching.Statuses, shape route.Engine) {
 	size := len(statuses)
-	speeds := make([]float64, size)
-	for rank := range speeds {
-		speeds[rank] = 1 / max(1, observed[rank].Pace)
-	}
+	speeds := speedsOf(observed, size)
 	before := currentMap(observed, size, shape)
 	if len(before) != shape.Layers {
 		return
@@ -260,9 +261,19 @@
 	}
 	l.journal.Event("plan", "group", l.group, "skew", worstSkew, "moved", moved, "map", statuses[0].Map, "step", statuses[0].Step)
 	l.coordinator = l.coordinator.WithSwitch(before, next, rand.Uint64N(1<<versionOffsetBits), statuses)
+	l.planned.skew = l.worstSkew(next, speeds, shape)
 	l.advance(ctx, statuses)
 }
 
+// speedsOf returns the speeds of the ranks.
+func speedsOf(observed map[int]Observation, size int) []float64 {
+	speeds := make([]float64, size)
+	for rank := range speeds {
+		speeds[rank] = 1 / max(1, observed[rank].Pace)
+	}
+	return speeds
+}
+
 // currentMap returns the map that the ranks report, or nil if a rank reports no
 // lists.
 func currentMap(observed map[int]Observation, size int, shape route.Engine) switching.Map {
--- a/steward/ranks/ranks.go
+++ b/steward/ranks/ranks.go
@@ -25,6 +25,13 @@
 	orderTimeout    = 60 * time.Millisecond  // an engine answers in a millisecond; after this time the answer is probably lost
 	mapOrderTimeout = 600 * time.Millisecond // for an order with a map; a few dozen maps may share a narrow link
 
+	// An engine on the same machine answers in milliseconds, so an order without an answer
+	// was probably lost, or is carried out late. It is repeated within the time that its sender
+	// waits: while a rank lacks its order, all requests of the group wait.
+	ownTimeout    = 20 * time.Millisecond
+	ownMapTimeout = 120 * time.Millisecond
+	ownAttempts   = 3
+
 	// maxCountReporters is the number of ranks that report their counts. Requests are
 	// spread evenly over all ranks, so more reports, of a few kilobytes each, would add
 	// little information.
@@ -148,8 +155,25 @@
 	return orderResponse{Result: r.orderOwn(ctx, o)}, nil
 }
 
-// orderOwn sends an order to the own rank.
+// orderOwn sends an order to the own rank. It repeats a Prepare or an Arm without an answer.
+// Both are idempotent, and switching.Verb says why a late one is harmless; a late Hold would
+// keep a pass from beginning.
 func (r *Ranks) orderOwn(ctx context.Context, o switching.Order) switching.Result {
+	if o.Verb != switching.Prepare && o.Verb != switching.Arm {
+		return sendOrder(ctx, r.own, o)
+	}
+	timeout := ownTimeout
+	if o.Map != nil {
+		timeout = ownMapTimeout
+	}
+	for range ownAttempts - 1 {
+		attempt, cancel := context.WithTimeout(ctx, timeout)
+		result := sendOrder(attempt, r.own, o)
+		cancel()
+		if result != switching.Unanswered {
+			return result
+		}
+	}
 	return sendOrder(ctx, r.own, o)
 }
 
--- a/steward/ranks/ranks_test.go
+++ b/steward/ranks/ranks_test.go
@@ -20,6 +20,7 @@
 	mu        sync.Mutex
 	ranks     map[string]int   // rank by address; never written after construction
 	orderedBy map[int][]string // names of the stewards that sent the orders, by rank; guarded by mu
+	lost      map[int]int      // number of the next orders that get no answer, by rank; guarded by mu
 }
 
 // fleetEngines implements ranks.Engines for one steward.
@@ -55,13 +56,26 @@
 	return o, err
 }
 
-func (e fakeEngine) Order(_ context.Context, o switching.Order) (switching.Result, error) {
-	e.engines.fleet.mu.Lock()
-	defer e.engines.fleet.mu.Unlock()
-	e.engines.fleet.orderedBy[o.Rank] = append(e.engines.fleet.orderedBy[o.Rank], e.engines.steward)
+func (e fakeEngine) Order(ctx context.Context, o switching.Order) (switching.Result, error) {
+	if e.engines.fleet.record(o.Rank, e.engines.steward) {
+		<-ctx.Done()
+		return switching.Unanswered, ctx.Err()
+	}
 	return switching.Done, nil
 }
 
+// record records an order, and reports whether it gets no answer.
+func (f *fleet) record(rank int, steward string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orderedBy[rank] = append(f.orderedBy[rank], steward)
+	lost := f.lost[rank] > 0
+	if lost {
+		f.lost[rank]--
+	}
+	return lost
+}
+
 type listing []roster.Target
 
 func (l listing) Targets() []roster.Target { return l }
@@ -79,7 +93,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fleet{ranks: map[string]int{"127.0.0.1:1": 0, "127.0.0.2:1": 1, "127.0.0.3:1": 2}, orderedBy: map[int][]string{}}
+	f := &fleet{ranks: map[string]int{"127.0.0.1:1": 0, "127.0.0.2:1": 1, "127.0.0.3:1": 2}, orderedBy: map[int][]string{}, lost: map[int]int{}}
 	targets := listing{{ID: "a", Address: "127.0.0.1:1"}, {ID: "b", Address: "127.0.0.2:1"}, {ID: "c", Address: "127.0.0.3:1"}}
 	client := wire.NewClient()
 	t.Cleanup(func() { _ = client.Close() })
@@ -150,3 +164,48 @@
 		})
 	}
 }
+
+// TestOrderWithoutAnswer guards against a switch that waits for a whole timeout for each order
+// that an engine leaves unanswered, and against a Hold that is sent twice, since a late one keeps
+// a pass from beginning.
+func TestOrderWithoutAnswer(t *testing.T) {
+	experts := switching.Map{{{0}, {1}, {2}}}
+	tests := []struct {
+		name   string
+		order  switching.Order
+		lost   int
+		want   switching.Result
+		orders int
+	}{
+		{"prepare", switching.Order{Verb: switching.Prepare, Version: 2, Map: experts}, 1, switching.Done, 2},
+		{"prepare, twice", switching.Order{Verb: switching.Prepare, Version: 2, Map: experts}, 2, switching.Done, 3},
+		{"arm", switching.Order{Verb: switching.Arm, Version: 2, Step: 9}, 2, switching.Done, 3},
+		{"disarm", switching.Order{Verb: switching.Disarm, Version: 2}, 1, switching.Unanswered, 1},
+		{"release", switching.Order{Verb: switching.Release, Step: 9}, 1, switching.Unanswered, 1},
+		{"hold, which the leader sends itself", switching.Order{Verb: switching.Hold, Step: 9}, 1, switching.Unanswered, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f, leader, _ := startStewards(t)
+			own, err := leader.ObserveOwn(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			for range maxObservations {
+				if len(leader.ObserveAll(t.Context(), "g", own, true)) == 2 {
+					break
+				}
+			}
+			f.mu.Lock()
+			f.lost[1] = tt.lost
+			f.mu.Unlock()
+			tt.order.Rank, tt.order.Epoch = 1, 1
+			result := leader.Order(t.Context(), tt.order)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if result != tt.want || len(f.orderedBy[1]) != tt.orders {
+				t.Errorf("the result is %d after %d orders, want %d after %d", result, len(f.orderedBy[1]), tt.want, tt.orders)
+			}
+		})
+	}
+}
--- a/steward/ranks/relay_test.go
+++ b/steward/ranks/relay_test.go
@@ -18,7 +18,7 @@
 // the leader's Ranks, which has observed them all.
 func startGroup(t *testing.T, size int) (*fleet, *ranks.Ranks, []*wire.Server) {
 	t.Helper()
-	f := &fleet{ranks: map[string]int{}, orderedBy: map[int][]string{}}
+	f := &fleet{ranks: map[string]int{}, orderedBy: map[int][]string{}, lost: map[int]int{}}
 	var targets listing
 	for i := range size {
 		address := fmt.Sprintf("127.0.0.%d:1", i+1)
