Wait for the idle state in the test of too many connections

TestTooManyConnections failed in 4 of 45 repetitions at a load of 9: it went on when the response had arrived, and the connection became idle a moment later. It waits for that state now; 0 of 60 repetitions failed.

--- a/adapter/ingress/listener_test.go
+++ b/adapter/ingress/listener_test.go
@@ -72,6 +72,11 @@
 				switch {
 				case text == getRequest:
 					answers(t, raw, "GET", 1)
+					waitFor(t, "the connection is idle", func() bool {
+						g.mu.Lock()
+						defer g.mu.Unlock()
+						return g.callers.members[i].waiting.Load() > 0
+					})
 				case len(text) > 1:
 					waitFor(t, "the request starts", func() bool { return g.started() == startedBefore(tt.before[:i+1]) })
 				default:
