Count the time for a head from its first byte, also on new connections

A caller that opened a connection ahead of its first request lost it after header_timeout_ms and 500 ms, 3.5 s with the published limits, though it had begun no head: the time of the first head counted from the accept. It counts from the first byte now; until then a new connection is idle like any other, and is closed for another one if there are too many. TestConnectionAhead failed before ("unexpected EOF").

--- a/adapter/ingress/conn.go
+++ b/adapter/ingress/conn.go
@@ -57,7 +57,6 @@
 	scan     scanner // of the current or, once complete, the next head
 	complete bool    // net/http has the whole head of a request that has not started
 	partial  bool    // net/http may hold bytes of the next heads, as after a body in chunks
-	first    bool    // no request has started
 	failed   bool    // the caller was refused
 	late     bool    // the last read after a timeout is under way
 	body     int64   // bytes of the current body that have not arrived
@@ -76,10 +75,10 @@
 
 func newConn(raw net.Conn, l *listener) *conn {
 	owner := ownerOf(raw)
-	c := &conn{Conn: raw, listener: l, guard: l.guard, owner: owner, repeats: l.repeats, first: true, bounds: l.bounds()}
+	c := &conn{Conn: raw, listener: l, guard: l.guard, owner: owner, repeats: l.repeats, bounds: l.bounds()}
 	c.head = reservation{guard: l.guard, owner: owner, free: freeMemory}
 	c.waiting.Store(l.guard.now())
-	c.arm(c.bounds.headTimeout)
+	c.arm(c.bounds.idleTimeout) // callers may open connections ahead
 	return c
 }
 
@@ -195,7 +194,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.first, c.late = serving, false, false
+	c.phase, c.late = serving, false
 	if r.ContentLength != 0 {
 		c.waiting.Store(c.guard.now()) // endBody holds it again: a body without end must not keep its connection open for ever
 	}
--- a/adapter/ingress/read.go
+++ b/adapter/ingress/read.go
@@ -168,14 +168,11 @@
 	return pass
 }
 
-// beginHead fixes the limits of a head when its first byte arrives. The time of the first one
-// counts from when the connection was accepted.
+// beginHead fixes the limits of a head when its first byte arrives.
 func (c *conn) beginHead() {
 	c.bounds = c.listener.bounds()
-	if !c.first {
-		c.late = false
-		c.arm(c.bounds.headTimeout)
-	}
+	c.late = false
+	c.arm(c.bounds.headTimeout)
 }
 
 // check returns why the head that arrived so far is refused, and reserves memory for it.
