Test releases of more than an owner holds, and probes beside a caller with a request

Two mutations survived the tests before: - Release without the bound by what the owner holds: no test released more. - ForProbes without a set of its own (TestProbesApart): the caller's connection had a body that hadn't arrived, so that it was closed for the probe. It now carries a whole request, which is never closed for another. Both are caught now.

--- a/adapter/ingress/listener_test.go
+++ b/adapter/ingress/listener_test.go
@@ -125,8 +125,10 @@
 // TestProbesApart guards against callers that keep probes from being answered.
 func TestProbesApart(t *testing.T) {
 	g := New(WithConnections(1))
-	callers, probes := serveEcho(t, g, nil), serveEcho(t, g, nil, ForProbes())
-	sendPieces(dial(t, callers), "GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n", 1<<20)
+	blocked := blocking{g, make(chan struct{})}
+	callers, probes := serveEcho(t, g, blocked), serveEcho(t, g, nil, ForProbes())
+	defer close(blocked.unblocked)
+	sendPieces(dial(t, callers), "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n", 1<<20) // can't be closed for another
 	waitFor(t, "the request starts", func() bool { return g.started() == 1 })
 	raw := dial(t, probes)
 	sendPieces(raw, getRequest, 1<<20)
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -90,6 +90,32 @@
 	}
 }
 
+// TestReleaseOfMore guards against an owner that makes room by releasing what it doesn't hold.
+func TestReleaseOfMore(t *testing.T) {
+	tests := []struct {
+		name  string
+		owner string
+		bytes int64
+		want  int64
+	}{
+		{"a part", "a", 100, 500},
+		{"all", "a", 200, 400},
+		{"more than it holds", "a", 201, 400},
+		{"by an owner that holds nothing", "c", 100, 600},
+		{"less than nothing", "a", -100, 600},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			pool, _ := intake.New(2000).Reserve("a", 200)
+			pool, _ = pool.Reserve("b", 400)
+			pool = pool.Release(tt.owner, tt.bytes)
+			if pool.Used() != tt.want || pool.Held("a")+pool.Held("b")+pool.Held("c") != tt.want {
+				t.Errorf("%d are used, a holds %d, b %d and c %d; want %d together", pool.Used(), pool.Held("a"), pool.Held("b"), pool.Held("c"), tt.want)
+			}
+		})
+	}
+}
+
 // TestPool checks, for any reservations and releases, that the pool is never exceeded, that
 // an owner that holds nothing finds room, and that what is released is free again.
 func TestPool(t *testing.T) {
