--- a/core/intake/victim.go
+++ b/core/intake/victim.go
@@ -8,16 +8,16 @@
 }
 
 // Victim returns the index of the connection to close when there are too many, or -1 if the
-// connection of newcomer is to be refused instead.
+// connection of arrival is to be refused instead.
 //
 // Only connections that carry no request are considered. Among these it is the one that has
 // waited longest, of the owner with the most connections that has such a connection; of
-// owners with equally many, the one that has waited longest. The newcomer counts for its
+// owners with equally many, the one that has waited longest. The arrival counts for its
 // owner: if that owner then has more connections than the owner of the victim, it is refused,
 // so that no owner pays for another that holds more.
-func Victim(connections []Connection, newcomer string) int {
+func Victim(connections []Connection, arrival string) int {
 	counts := make(map[string]int)
-	counts[newcomer]++
+	counts[arrival]++
 	for _, c := range connections {
 		counts[c.Owner]++
 	}
@@ -30,7 +30,7 @@
 			victim = i
 		}
 	}
-	if victim >= 0 && counts[newcomer] > counts[connections[victim].Owner] {
+	if victim >= 0 && counts[arrival] > counts[connections[victim].Owner] {
 		return -1
 	}
 	return victim
