--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -181,7 +181,7 @@
 	tests := []struct {
 		name        string
 		connections [][]intake.Connection
-		arrival    string
+		arrival     string
 		want        int
 	}{
 		{"no connection", nil, "a", -1},
