core/intake: call the owner of a new connection so, and say when a connection is busy

The parameter and the tests' rows named it 'arrival', and a connection counted as one that carries 'a request' although only a whole request, head and body, counts. Comments and one name; no behaviour. The tests of core/intake and adapter/ingress pass.

--- a/adapter/ingress/listener.go
+++ b/adapter/ingress/listener.go
@@ -78,14 +78,14 @@
 	s.members = s.members[:last]
 }
 
-// victim returns the connection to close for one of arrival, or nil.
-func (s *set) victim(arrival string) *conn {
+// victim returns the connection to close for a new one of newOwner, or nil.
+func (s *set) victim(newOwner string) *conn {
 	s.scratch = s.scratch[:0]
 	for _, c := range s.members {
 		since := c.waiting.Load()
 		s.scratch = append(s.scratch, intake.Connection{Owner: c.owner, Since: since, Busy: since <= 0})
 	}
-	if i := intake.Victim(s.scratch, arrival); i >= 0 {
+	if i := intake.Victim(s.scratch, newOwner); i >= 0 {
 		return s.members[i]
 	}
 	return nil
--- a/core/intake/victim.go
+++ b/core/intake/victim.go
@@ -4,20 +4,20 @@
 type Connection struct {
 	Owner string
 	Since int64 // Since orders connections by when their wait for a request began.
-	Busy  bool  // Busy means that the connection carries a request.
+	Busy  bool  // Busy means that the connection carries a whole request, head and body, that has no complete answer yet.
 }
 
 // Victim returns the index of the connection to close when there are too many, or -1 if the
-// connection of arrival is to be refused instead.
+// new connection, which belongs to newOwner, is to be refused instead.
 //
-// Only connections that carry no request are considered. Among these it is the one that has
+// Only connections that carry no whole request are considered. Among these it is the one that has
 // waited longest, of the owner with the most connections that has such a connection; of
-// owners with equally many, the one that has waited longest. The arrival counts for its
-// owner: if that owner then has more connections than the owner of the victim, it is refused,
+// owners with equally many, the one that has waited longest. The new connection counts
+// for its owner: if that owner then has more connections than the owner of the victim, it is refused,
 // so that no owner pays for another that holds more.
-func Victim(connections []Connection, arrival string) int {
+func Victim(connections []Connection, newOwner string) int {
 	counts := make(map[string]int)
-	counts[arrival]++
+	counts[newOwner]++
 	for _, c := range connections {
 		counts[c.Owner]++
 	}
@@ -30,7 +30,7 @@
 			victim = i
 		}
 	}
-	if victim >= 0 && counts[arrival] > counts[connections[victim].Owner] {
+	if victim >= 0 && counts[newOwner] > counts[connections[victim].Owner] {
 		return -1
 	}
 	return victim
