Let requests wait for the share of the bound on cold targets

A gateway sends a target of a service with cold_per_s only its share of that bound (4 requests a second and target in the soak), also if the target is warm. The forecast of the queue did not know the share. It took the rate at which targets take requests from their load. Targets that answer in 5 ms and have all slots free have no load, so the rate was 0: one request waited, and each one behind it was refused at once as "not expected to be served in the time that is left" (logged: ahead=1 wait="596523h14m7s" until="1.47s"), although the share has room within 0.1 s. Callers who are refused at once ask again at once, which lowers the ratio further.

Change: the forecast holds the share beside what targets can take. The wait begins when the first target may get the next request, and takes the longer of both times. Services without a cold rate are judged as before.

Test: TestWaitForTheShareOfColdTargets. On the previous code five of its six cases fail: "behind one: refused with busy ... not expected to be served in the time that is left, want it to wait", and "with too little time" is not refused.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -313,13 +313,34 @@
 // of the bound in Bounds. A target may be cold before the platform lists it as cold, so
 // the bound applies to all targets of a service with a cold rate.
 func (s State) coldRoom(t roster.Target, now time.Time) int {
-	service, found := s.Book.Service(t.Service)
-	if !found || service.ColdRate <= 0 {
+	share, bounded := s.coldShare(t.Service)
+	if !bounded {
 		return math.MaxInt
 	}
+	return share - len(recentSends(s.View(t.ID).sends, now))
+}
+
+// coldShare returns how many requests this gateway may send each target of a service
+// within coldWindow, and whether there is such a bound.
+func (s State) coldShare(service string) (share int, bounded bool) {
+	known, found := s.Book.Service(service)
+	if !found || known.ColdRate <= 0 {
+		return 0, false
+	}
 	gateways := max(minGateways, s.peers.count()+1)
-	bound := (service.ColdRate*s.bounds.ColdOvershoot + s.bounds.ColdSlack) / float64(gateways)
-	return max(1, int(bound)) - len(recentSends(s.View(t.ID).sends, now))
+	bound := (known.ColdRate*s.bounds.ColdOvershoot + s.bounds.ColdSlack) / float64(gateways)
+	return max(1, int(bound)), true
+}
+
+// coldUntil returns when this gateway's share of the bound on a cold target has room
+// again, or the zero time if it has room.
+func (s State) coldUntil(t roster.Target, now time.Time) time.Time {
+	share, bounded := s.coldShare(t.Service)
+	recent := recentSends(s.View(t.ID).sends, now)
+	if !bounded || len(recent) < share {
+		return time.Time{}
+	}
+	return recent[len(recent)-share].Add(coldWindow)
 }
 
 // recentSends returns a copy of the sends within coldWindow, with capacity for one more.
--- a/core/dispatch/forecast.go
+++ b/core/dispatch/forecast.go
@@ -95,21 +95,29 @@
 	places  float64   // requests of this gateway that targets take at opensAt
 	rate    float64   // requests of this gateway that targets take a second from then on; infinite if nothing is known
 	remedy  string    // says what requests wait for
+
+	// The bound on requests to cold targets holds beside that, whatever targets could take.
+	coldPlaces float64 // requests that this gateway may send at opensAt
+	coldRate   float64 // requests that it may send a second from then on; infinite if the service has no such bound
 }
 
 // wait returns how long a request waits for a place behind others.
 func (f forecast) wait(ahead int, now time.Time) time.Duration {
-	wait := max(0, f.opensAt.Sub(now))
+	seconds := 0.0
 	if behind := float64(ahead) - f.places; behind > 0 {
-		seconds := min(behind/f.rate, math.MaxInt32)
-		wait += time.Duration(seconds * float64(time.Second))
+		seconds = behind / f.rate
+	}
+	if behind := float64(ahead) - f.coldPlaces; behind > 0 {
+		seconds = max(seconds, behind/f.coldRate)
 	}
-	return wait
+	return max(0, f.opensAt.Sub(now)) + time.Duration(min(seconds, math.MaxInt32)*float64(time.Second))
 }
 
 // forecast returns the expected course of the queue for a service with the given targets. Of the places that
 // targets free, a gateway gets those that its own requests leave, or its even share if
-// that is more: gateways that have requests waiting take each other's places.
+// that is more: gateways that have requests waiting take each other's places. A target that
+// got this gateway's share of the bound on cold targets may have free slots. Its present load
+// then says nothing about how many requests it will take.
 func (s State) forecast(service string, serving []roster.Target, now time.Time) forecast {
 	f := forecast{remedy: "no target of the service has room for the request now"}
 	departing, gateways := s.departing(serving), float64(s.peers.count()+1)
@@ -122,22 +130,30 @@
 	}
 	if len(opens) == 0 {
 		outage, _ := s.idle.Get(service)
-		return forecast{opensAt: now.Add(outage.remaining(now)), rate: math.Inf(1), remedy: "no target of the service takes requests now"}
+		return forecast{opensAt: now.Add(outage.remaining(now)), rate: math.Inf(1), remedy: "no target of the service takes requests now", coldRate: math.Inf(1)}
 	}
-	first := slices.MinFunc(opens, func(a, b opening) int { return a.at.Compare(b.at) })
-	if f.opensAt = first.at; first.remedy != "" {
+	first := slices.MinFunc(opens, func(a, b opening) int { return a.next().Compare(b.next()) })
+	if f.opensAt = first.next(); first.remedy != "" {
 		f.remedy = first.remedy
 	}
+	share, bounded := s.coldShare(service)
+	if !bounded {
+		f.coldRate = math.Inf(1)
+	}
 	for i, t := range slices.DeleteFunc(slices.Clone(serving), func(t roster.Target) bool { return departing[t.ID] }) {
 		load, own := s.loadOf(t, now), s.View(t.ID).InFlight
 		room := float64(max(0, maxLoad(t)-load)) / gateways
+		if bounded && !opens[i].at.After(f.opensAt) {
+			f.coldPlaces += float64(max(0, s.coldRoom(t, f.opensAt)))
+			f.coldRate += float64(share) / coldWindow.Seconds()
+		}
 		switch limit := s.statement(t).limit; {
 		case limit.Named:
 			f.rate += max(limit.Rate/gateways, float64(len(recentSends(s.View(t.ID).sends, now)))/coldWindow.Seconds())
 			continue
 		case opens[i].at.After(f.opensAt):
 			continue
-		case opens[i].at.After(now):
+		case bounded || opens[i].at.After(now):
 			load = max(load, max(1, t.Slots))
 			f.places += room
 		}
@@ -153,12 +169,22 @@
 
 // opening is when a target takes requests again.
 type opening struct {
-	at     time.Time // now for a target that is only full
-	remedy string    // says why it takes none until then; empty for one that is only full
+	at     time.Time // now for a target that is only full, or got this gateway's share of the bound on cold targets
+	remedy string    // says why it takes none until then; empty if at is now
+	coldAt time.Time // when that share has room again; zero if it has
+}
+
+// next returns when the target can take the next request.
+func (o opening) next() time.Time {
+	if o.coldAt.After(o.at) {
+		return o.coldAt
+	}
+	return o.at
 }
 
 // opening returns when a target takes requests again, as far as that is known. That of a
-// target that is only full is now: its places are freed one by one.
+// target that is only full, or got this gateway's share of the bound on cold targets, is now:
+// its places are freed one by one.
 func (s State) opening(t roster.Target, now time.Time) opening {
 	view, latest := s.View(t.ID), opening{at: now}
 	pausedUntil := s.pausedUntil(t, now)
@@ -170,16 +196,17 @@
 		nextPermit = known.nextPermit
 	}
 	for _, o := range []opening{
-		{pausedUntil, "all targets of the service asked for a pause"},
-		{nextPermit, "the targets of the service are at the limits that they name"},
-		{view.Attempts.EjectedUntil, "the targets of the service failed lately"},
-		{view.replacedUntil(), "the targets of the service were replaced"},
-		{lostUntil, "the groups of the service's targets can't work now"},
+		{at: pausedUntil, remedy: "all targets of the service asked for a pause"},
+		{at: nextPermit, remedy: "the targets of the service are at the limits that they name"},
+		{at: view.Attempts.EjectedUntil, remedy: "the targets of the service failed lately"},
+		{at: view.replacedUntil(), remedy: "the targets of the service were replaced"},
+		{at: lostUntil, remedy: "the groups of the service's targets can't work now"},
 	} {
 		if o.at.After(latest.at) {
 			latest = o
 		}
 	}
+	latest.coldAt = s.coldUntil(t, now)
 	return latest
 }
 
--- a/core/dispatch/queue_test.go
+++ b/core/dispatch/queue_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"hornbeamtray/core/dispatch"
+	"hornbeamtray/core/refusal"
+	"hornbeamtray/core/roster"
+	"hornbeamtray/core/route"
 )
 
 // TestOrderAtTargets checks that a request that arrives takes no place that one which waits
@@ -46,6 +49,58 @@
 	}
 }
 
+// TestWaitForTheShareOfColdTargets guards against a gateway that refuses requests as not to
+// be served in time when only its share of the bound on cold targets is used up: the targets
+// answer quickly and are idle, and the gateway may send the next requests within a second.
+func TestWaitForTheShareOfColdTargets(t *testing.T) {
+	const share = 7 // of a gateway, each second and target: (38 * 1.5 + 5) / 8
+	a, b := process("a", 1, 1), process("b", 1, 2)
+	a.Service, b.Service = "cold", "cold"
+	idle := listed(dispatch.New("g", "d1", bounds).WithUpdate(dispatch.Update{Books: []route.Book{book(5)}, ReadAt: at(0)}, at(0)), 2, 0, a, b)
+	tests := []struct {
+		name   string
+		sends  int // in the half second before
+		ahead  int
+		left   int // the caller's time, in ms
+		waits  bool
+		waitMS int // that is expected
+	}{
+		{"the first", 2 * share, 0, 1500, true, 500},
+		{"behind one", 2 * share, 1, 1500, true, 500},
+		{"behind as many as a second takes", 2 * share, 2 * share, 2000, true, 1500},
+		{"behind more than the caller's time allows", 2 * share, 4 * share, 2000, false, 0},
+		{"with too little time", 2 * share, 0, 400, false, 0},
+		{"one target may get more", 2*share - 1, 3, 1500, true, 150},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s, now := idle, 0
+			for range tt.sends {
+				var target roster.Target
+				var refused *refusal.Refusal
+				if s, target, refused = s.Choose(dispatch.Admission{Service: "cold"}, nil, lowestRandom{}, at(now)); refused != nil {
+					t.Fatal(refused)
+				}
+				s = s.WithAttempt(target.ID, false, at(now+5)).WithAnswer("cold", 5*time.Millisecond, at(now+5))
+				now += 500 / (2 * share)
+			}
+			a := dispatch.Admission{Service: "cold", Arrived: at(500), Deadline: at(60_000)}
+			for range tt.ahead {
+				s, _, _ = s.Queue(a, nil, 0, at(500))
+			}
+			a.Deadline = at(500 + tt.left)
+			_, a, refused := s.Queue(a, nil, 0, at(500))
+			if (refused == nil) != tt.waits {
+				t.Fatalf("refused with %v, want it to wait: %t", refused, tt.waits)
+			}
+			want := time.Duration(tt.waitMS) * time.Millisecond
+			if tt.waits && (a.Wait-want).Abs() > 100*time.Millisecond {
+				t.Errorf("expected to wait for %s, want about %s", a.Wait, want)
+			}
+		})
+	}
+}
+
 // TestFewLookForAFreedPlace checks that of many waiting requests only the first few look for a
 // target when a place is freed, and the first always does.
 func TestFewLookForAFreedPlace(t *testing.T) {
