steward/lead: hold a pass that begins when the ranks are armed

Callers saw gaps of over 120 ms in all streams of a group at each switch to another map, though passes took 60 to 90 ms.

The leader now measures how long passes take and how long arming takes, from the observation of the ranks until the release (switching.Timing, a value), and holds a pass so far ahead that it begins late by a quarter of a pass at most; two to five passes.

--- a/core/switching/coordinator.go
+++ b/core/switching/coordinator.go
@@ -39,7 +39,6 @@
 )
 
 const (
-	holdAhead        = 2  // passes from the last one that began to the one to hold; a Hold order takes about a tenth of a pass
 	maxPrepareRounds = 80 // rounds of orders after which Preparing fails
 	resendRounds     = 8  // rounds of orders after which Prepare is sent again to a rank that still copies
 
@@ -60,6 +59,7 @@
 	Version uint64 // Version is the version of the switch in progress.
 	Step    uint64 // Step is the pass to hold, then the held pass.
 	Current Map    // Current is the map in use.
+	Ahead   uint64 // Ahead is how many passes after the last one that began the pass to hold is; see Timing.
 
 	next          Map
 	highest       uint64       // highest version that any rank may have had, as far as known
@@ -76,7 +76,7 @@
 // epoch and with that map in use. If an earlier coordinator left a held pass, it
 // resolves that first.
 func NewCoordinator(epoch uint64, size int, current Map, statuses Statuses) Coordinator {
-	c := Coordinator{Phase: Idle, Epoch: epoch, Size: size, Current: current, highest: statuses.highestVersion()}
+	c := Coordinator{Phase: Idle, Epoch: epoch, Size: size, Current: current, Ahead: minAhead, highest: statuses.highestVersion()}
 	return c.resolve(statuses)
 }
 
@@ -85,7 +85,7 @@
 // ranks are armed, the leader's rank may be armed too; then only the leader can
 // release the pass, and the guardian does nothing.
 func NewGuardian(epoch uint64, size int, current Map, statuses Statuses) Coordinator {
-	c := Coordinator{Phase: Idle, Epoch: epoch, Size: size, Current: current, highest: statuses.highestVersion(), withoutLeader: true}
+	c := Coordinator{Phase: Idle, Epoch: epoch, Size: size, Current: current, Ahead: minAhead, highest: statuses.highestVersion(), withoutLeader: true}
 	return c.resolve(statuses)
 }
 
@@ -160,6 +160,13 @@
 	return c.enter(Idle)
 }
 
+// WithAhead returns the coordinator with the number of passes from the last one that began to
+// the one to hold.
+func (c Coordinator) WithAhead(passes uint64) Coordinator {
+	c.Ahead = passes
+	return c
+}
+
 // Next returns the map of the switch in progress, or nil if there is none.
 func (c Coordinator) Next() Map { return c.next }
 
@@ -225,7 +232,7 @@
 		}
 		return c
 	}
-	c.Step = statuses[Holder(c.Size)].Step + holdAhead
+	c.Step = statuses[Holder(c.Size)].Step + c.Ahead
 	c.deadline = now.Add(ArmWindow)
 	return c.enter(Holding)
 }
@@ -242,7 +249,7 @@
 		c.Step = holder.Held
 		return c.enter(Arming)
 	case holder.Step >= c.Step || c.refused:
-		c.Step = holder.Step + holdAhead
+		c.Step = holder.Step + c.Ahead
 		c.refused = false
 	}
 	return c
--- /dev/null
+++ b/steward/lead/hold_test.go
@@ -0,0 +1,85 @@
+package lead
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"hornbeamtray/core/switching"
+)
+
+// busyRanks is a view of a group whose stewards have little processor time, so that each call
+// takes a while.
+type busyRanks struct {
+	view
+	orderTime, observeTime time.Duration
+}
+
+func (r busyRanks) Orders(ctx context.Context, orders []switching.Order) []switching.Result {
+	time.Sleep(r.orderTime)
+	return r.view.Orders(ctx, orders)
+}
+
+func (r busyRanks) ObserveRank(ctx context.Context, rank int, lists bool) (Observation, error) {
+	time.Sleep(r.observeTime)
+	return r.view.ObserveRank(ctx, rank, lists)
+}
+
+func (r busyRanks) ObserveAll(ctx context.Context, group string, own Observation, counts bool) map[int]Observation {
+	all := r.view.ObserveAll(ctx, group, own, counts)
+	time.Sleep(r.observeTime)
+	return all
+}
+
+// moveDemand makes another expert hot every two seconds.
+func (g *fakeGroup) moveDemand(tokens []uint64) {
+	for hot := 0; ; hot++ {
+		g.mu.Lock()
+		for e := range tokens {
+			tokens[e] = 5
+		}
+		tokens[hot%len(tokens)] = 80
+		g.mu.Unlock()
+		select {
+		case <-g.stopped:
+			return
+		case <-time.After(2 * time.Second):
+		}
+	}
+}
+
+// TestNoPassBeginsLate guards against holding a pass that is due before all ranks are armed:
+// all streams of the group then have a gap at each switch. Passes take 50 ms.
+func TestNoPassBeginsLate(t *testing.T) {
+	tests := []struct {
+		name                   string
+		orderTime, observeTime time.Duration
+		late                   int // passes that may begin late, while it isn't known how long arming takes
+	}{
+		{"quick calls", 2 * time.Millisecond, time.Millisecond, 0},
+		{"calls that take a tenth of a pass", 5 * time.Millisecond, 2 * time.Millisecond, 0},
+		{"calls that take a third of a pass", 15 * time.Millisecond, 5 * time.Millisecond, 0},
+		{"calls that take half a pass", 25 * time.Millisecond, 5 * time.Millisecond, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, tokens := newGroup(make([]uint64, 4)), make([]uint64, 4)
+				go g.moveDemand(tokens)
+				go g.run(tokens)
+				l := New(busyRanks{view{g, 0}, tt.orderTime, tt.observeTime}, fixedShape{}, discard{}, discard{}, time.Now)
+				time.Sleep(20 * time.Second)
+				_ = l.Close()
+				close(g.stopped)
+				switches, mixed := g.result()
+				if switches < 4 || mixed {
+					t.Errorf("%d switches, pass on two maps: %t; want at least 4 and no pass on two maps", switches, mixed)
+				}
+				if g.late > tt.late {
+					t.Errorf("%d passes began late in %d switches, want at most %d", g.late, switches, tt.late)
+				}
+			})
+		})
+	}
+}
--- a/steward/lead/lead.go
+++ b/steward/lead/lead.go
@@ -54,6 +54,9 @@
 	cache        observationCache
 	coordinator  switching.Coordinator
 	planned      plannedSwitch
+	timing       switching.Timing
+	observedAt   time.Time // before the ranks were observed in the round
+	armingSince  time.Time // observedAt of the round in which the last switch began to hold a pass
 	leading      bool
 	targetLost   bool
 	roundEndedAt time.Time // when the last round ended
@@ -117,6 +120,8 @@
 		}
 		return
 	}
+	l.observedAt = l.clock()
+	l.timing = l.timing.WithStep(own.Status.Step, l.observedAt)
 	observed := l.ranks.ObserveAll(ctx, own.Group, own, l.measures() && l.demand.due(l.clock()))
 	l.demand.add(observed, shape, l.clock())
 	observed = l.cache.fill(ctx, l.ranks, own, observed, l.leading && l.coordinator.Phase == switching.Idle, l.clock())
@@ -155,7 +160,7 @@
 
 // startLeading makes a coordinator for the current epoch of the own group.
 func (l *Lead) startLeading(own Observation, observed map[int]Observation, statuses switching.Statuses, shape route.Engine) {
-	l.leading, l.group = true, own.Group
+	l.leading, l.group, l.armingSince = true, own.Group, time.Time{}
 	l.coordinator = switching.NewCoordinator(own.Status.Epoch, own.Status.Size, currentMap(observed, own.Status.Size, shape), statuses)
 	l.journal.Event("leading", "group", l.group, "epoch", own.Status.Epoch, "ranks", own.Status.Size, "map", own.Status.Map,
 		"held", own.Status.Held, "phase", l.coordinator.Phase)
@@ -181,7 +186,8 @@
 func (l *Lead) advance(ctx context.Context, statuses switching.Statuses) {
 	for range maxOrderRounds {
 		before := l.coordinator
-		l.coordinator = l.coordinator.WithStatuses(statuses, l.clock())
+		l.coordinator = l.coordinator.WithAhead(l.timing.Ahead(l.clock())).WithStatuses(statuses, l.clock())
+		l.recordArming(before)
 		l.logPhase(before)
 		var orders []switching.Order
 		l.coordinator, orders = l.coordinator.Orders(statuses, l.clock())
@@ -204,6 +210,21 @@
 	}
 }
 
+// recordArming records how long the ranks took to be armed if a switch has just released its
+// pass.
+func (l *Lead) recordArming(before switching.Coordinator) {
+	switch after := l.coordinator; {
+	case before.Phase == switching.Preparing && after.Phase == switching.Holding:
+		l.armingSince = l.observedAt
+	case before.Phase == switching.Arming && after.Phase == switching.Undoing:
+		l.armingSince = time.Time{}
+	case before.Phase == switching.Releasing && after.Phase == switching.Idle && !l.armingSince.IsZero():
+		took := l.clock().Sub(l.armingSince)
+		l.timing, l.armingSince = l.timing.WithArming(took, l.clock()), time.Time{}
+		l.meter.Observe("arming", took)
+	}
+}
+
 // statusesOf returns the statuses of the ranks that are in an epoch.
 func statusesOf(observed map[int]Observation, epoch uint64) switching.Statuses {
 	statuses := switching.Statuses{}
@@ -223,7 +244,7 @@
 	}
 	l.meter.Inc("switch", string(after.Phase))
 	l.journal.Event("switch", "group", l.group, "epoch", after.Epoch, "version", after.Version, "step", after.Step,
-		"before", before.Phase, "after", after.Phase)
+		"ahead", after.Ahead, "before", before.Phase, "after", after.Phase)
 }
 
 // sendOrders sends orders to their ranks and passes the results to the coordinator.
--- a/steward/lead/lead_test.go
+++ b/steward/lead/lead_test.go
@@ -23,6 +23,7 @@
 	leaderFrozen  bool       // guarded by mu; rank 0's instance is frozen
 	switches      int        // guarded by mu; number of switches to another map
 	mixed         bool       // guarded by mu; whether a pass began on two maps
+	late          int        // guarded by mu; passes that were due while they were held
 	silentRank    int        // guarded by mu; rank whose steward does not answer, 0 for none
 	directQueries int        // guarded by mu; direct queries of silentRank
 	onHold        func()     // called at a Hold order, with mu locked
@@ -72,6 +73,7 @@
 func (g *fakeGroup) beginPass() {
 	for _, r := range g.ranks {
 		if r.status.Held == g.step+1 {
+			g.late++
 			return
 		}
 	}
