Measure the demand for experts anew as soon as it shifts

Cause: a sudden shift of demand falls in the middle of the leader's 250 ms window. The first plan after it was for a mixture of both demands, and was given up for another one 250 ms later.

Change: between its rounds the leader reads the counts of its own rank every 62.5 ms (while ranks copy: in each round, every 60 ms), and passes them to expert.Detector. When that reports a shift, the leader discards the window, reads the counts of the reporting ranks at once as a baseline and 100 ms later again, and plans for the difference alone if it holds a fifth of the counts of a usual window; otherwise the window goes on until 250 ms. It makes no plan in between. If the ranks take more than 50 ms to report, the own rank is read once more, so that counts from both sides of a shift end no window. A window now ends only with the counts of the ranks that were asked for them; before, rounds during a hold ended windows with the own rank's counts alone.

--- a/steward/lead/demand.go
+++ b/steward/lead/demand.go
@@ -5,21 +5,40 @@
 
 	"hornbeamtray/core/expert"
 	"hornbeamtray/core/route"
+	"hornbeamtray/core/switching"
 )
 
 const (
 	measureInterval = 250 * time.Millisecond // length of one measurement
 	maxCountAge     = 8 * measureInterval    // the increase since older counts is dropped, since it includes past demand
 	minMeasurements = 3                      // measurements before the first plan
+
+	// shiftInterval is the length of the first measurement after a shift.
+	shiftInterval = 100 * time.Millisecond
+	// minShiftShare is the share of the counts of a usual measurement from which on
+	// one after a shift is used alone: those of shiftInterval at half the usual load.
+	// With fewer counts it goes on for measureInterval in all.
+	minShiftShare = 0.2
 )
 
 // demand measures the popularity of the experts from the counts of the ranks.
+//
+// After a sudden shift, the measurement in progress includes counts of both demands.
+// So it is discarded when the shift is noticed: the ranks report their counts at once,
+// as a baseline, and again after shiftInterval.
 type demand struct {
 	lastCounts   map[int]rankCounts // latest counts by rank
 	window       [][]float64        // counts since the last measurement, by layer set and expert
 	measuredAt   time.Time          // when the last measurement ended
 	demands      []expert.Demand    // by layer set
 	measurements int                // measurements so far, without those that had no counts
+	usualCounts  float64            // counts of a usual measurement, or 0 if there was none
+
+	detector   expert.Detector
+	watched    rankCounts // the own rank's counts when they were last passed to the detector
+	shifted    bool       // a shift was noticed, and no measurement after it has ended
+	baselineAt time.Time  // when the ranks reported the baseline after the shift, or zero
+	readAt     time.Time  // when their next counts after the baseline are due, or zero
 }
 
 // rankCounts holds the counts of a rank at a point in time.
@@ -30,15 +49,26 @@
 
 // due reports whether a measurement is due, for which the ranks must report their
 // counts.
-func (d *demand) due(now time.Time) bool { return now.Sub(d.measuredAt) >= measureInterval }
+func (d *demand) due(now time.Time) bool {
+	if d.shifted {
+		return !now.Before(d.readAt)
+	}
+	return now.Sub(d.measuredAt) >= measureInterval
+}
 
-// add adds the increase of the ranks' counts since their last observation, and ends
-// the measurement if one is due. It drops the increase of a rank that restarted or
-// was last observed at least maxCountAge ago.
-func (d *demand) add(observed map[int]Observation, shape route.Engine, now time.Time) {
-	if len(d.demands) != shape.Layers || len(d.window[0]) != shape.Experts {
+// add adds the increase of the ranks' counts since their last observation. If counts
+// were requested from the ranks, they begin the measurement after a shift, or end the
+// measurement in progress. It drops the increase of a rank that restarted or was last
+// observed at least maxCountAge ago.
+func (d *demand) add(observed map[int]Observation, shape route.Engine, requested bool, now time.Time) {
+	if !d.fits(shape) {
 		*d = demand{lastCounts: map[int]rankCounts{}, demands: make([]expert.Demand, shape.Layers), window: newWindow(shape), measuredAt: now}
 	}
+	begins := d.shifted && d.baselineAt.IsZero() && requested
+	if begins {
+		d.lastCounts, d.window = map[int]rankCounts{}, newWindow(shape)
+		d.baselineAt, d.readAt = now, now.Add(shiftInterval)
+	}
 	for rank, o := range observed {
 		if len(o.Counts) != shape.Layers*shape.Experts {
 			continue
@@ -48,23 +78,74 @@
 		}
 		d.lastCounts[rank] = rankCounts{counts: o.Counts, at: now}
 	}
-	if !d.due(now) {
+	if requested && !begins {
+		d.end(shape, now)
+	}
+}
+
+// fits reports whether the demand is that of engines of this shape.
+func (d *demand) fits(shape route.Engine) bool {
+	return len(d.demands) == shape.Layers && len(d.window[0]) == shape.Experts
+}
+
+// end ends the measurement in progress, unless it is the one after a shift and has too
+// few counts yet.
+func (d *demand) end(shape route.Engine, now time.Time) {
+	total := 0.0
+	for _, counts := range d.window {
+		for _, n := range counts {
+			total += n
+		}
+	}
+	enough := total >= minShiftShare*d.usualCounts
+	if d.shifted && !enough && now.Sub(d.baselineAt) < measureInterval {
+		d.readAt = d.baselineAt.Add(measureInterval)
 		return
 	}
-	anyCounts := false
-	for set := range d.demands {
-		before := d.demands[set].Samples
-		d.demands[set] = d.demands[set].WithWindow(d.window[set])
-		anyCounts = anyCounts || d.demands[set].Samples != before
+	for set, before := range d.demands {
+		after := before.WithWindow(d.window[set])
+		if alone := (expert.Demand{}).WithWindow(d.window[set]); d.shifted && enough && alone.Samples != 0 {
+			after = alone
+		}
+		d.demands[set] = after
 	}
-	if anyCounts {
+	if total > 0 {
 		d.measurements++
 	}
+	switch {
+	case d.shifted:
+		d.shifted, d.baselineAt, d.readAt, d.watched = false, time.Time{}, time.Time{}, d.lastCounts[switching.Leader]
+	case d.usualCounts == 0:
+		d.usualCounts = total
+	case total > 0:
+		d.usualCounts = (d.usualCounts + total*float64(measureInterval)/float64(max(measureInterval, now.Sub(d.measuredAt)))) / 2
+	}
 	d.window, d.measuredAt = newWindow(shape), now
 }
 
-// enough reports whether there are enough measurements to plan a placement.
-func (d *demand) enough() bool { return d.measurements >= minMeasurements }
+// watch passes the increase of the own rank's counts to the detector, unless it did so
+// less than minWatchGap ago. It reports whether the detector notices a shift.
+func (d *demand) watch(counts []uint64, shape route.Engine, now time.Time) (expert.Finding, bool) {
+	if d.shifted || !d.fits(shape) || len(counts) != shape.Layers*shape.Experts || now.Sub(d.watched.at) < minWatchGap {
+		return expert.Finding{}, false
+	}
+	last := d.watched
+	d.watched = rankCounts{counts: counts, at: now}
+	if now.Sub(last.at) >= maxCountAge {
+		d.detector = d.detector.WithoutCounts()
+		return expert.Finding{}, false
+	}
+	increase := newWindow(shape)
+	addCounts(increase, last.counts, counts, shape.Experts)
+	var found expert.Finding
+	d.detector, found = d.detector.WithCounts(increase, d.demands)
+	d.shifted = found.Shifted
+	return found, found.Shifted
+}
+
+// enough reports whether there are enough measurements to plan a placement, and none
+// after a shift is in progress.
+func (d *demand) enough() bool { return d.measurements >= minMeasurements && !d.shifted }
 
 // newWindow returns a window of zero counts.
 func newWindow(shape route.Engine) [][]float64 {
--- a/steward/lead/lead.go
+++ b/steward/lead/lead.go
@@ -17,7 +17,6 @@
 
 	"gopkg.in/tomb.v2"
 
-	"hornbeamtray/adapter/clock"
 	"hornbeamtray/core/expert"
 	"hornbeamtray/core/route"
 	"hornbeamtray/core/switching"
@@ -80,13 +79,22 @@
 	for ctx.Err() == nil {
 		l.round(ctx)
 		l.roundEndedAt = l.clock()
-		clock.Pause(ctx, l.interval())
+		l.pause(ctx)
 	}
 	return nil
 }
 
 // interval returns the time between two rounds.
 func (l *Lead) interval() time.Duration {
+	interval := l.phaseInterval()
+	if l.leading && l.demand.shifted && l.measures() {
+		interval = max(heldInterval, min(interval, l.demand.readAt.Sub(l.clock())))
+	}
+	return interval
+}
+
+// phaseInterval returns the time between two rounds in the current phase.
+func (l *Lead) phaseInterval() time.Duration {
 	switch l.coordinator.Phase {
 	case switching.Preparing:
 		return prepareInterval
@@ -117,8 +125,7 @@
 		}
 		return
 	}
-	observed := l.ranks.ObserveAll(ctx, own.Group, own, l.measures() && l.demand.due(l.clock()))
-	l.demand.add(observed, shape, l.clock())
+	observed := l.observe(ctx, own, shape)
 	observed = l.cache.fill(ctx, l.ranks, own, observed, l.leading && l.coordinator.Phase == switching.Idle, l.clock())
 	statuses := statusesOf(observed, own.Status.Epoch)
 	mayHold := l.coordinator.Phase != switching.Idle && l.coordinator.Phase != switching.Preparing
--- a/steward/lead/lead_test.go
+++ b/steward/lead/lead_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
@@ -25,6 +26,7 @@
 	mixed         bool       // guarded by mu; whether a pass began on two maps
 	silentRank    int        // guarded by mu; rank whose steward does not answer, 0 for none
 	directQueries int        // guarded by mu; direct queries of silentRank
+	random        *rand.Rand // guarded by mu; draws the experts of the tokens, nil for exactly those that run gets
 	onHold        func()     // called at a Hold order, with mu locked
 	stopped       chan struct{}
 }
@@ -51,17 +53,19 @@
 
 // run begins a pass every 50 ms and then adds tokens, which holds a number for each
 // expert, to the counts of every rank.
-func (g *fakeGroup) run(tokens []uint64) {
+func (g *fakeGroup) run(tokens []uint64) { g.runEvery(50*time.Millisecond, tokens) }
+
+func (g *fakeGroup) runEvery(interval time.Duration, tokens []uint64) {
 	for {
 		select {
 		case <-g.stopped:
 			return
-		case <-time.After(50 * time.Millisecond):
+		case <-time.After(interval):
 		}
 		g.mu.Lock()
 		g.beginPass()
 		for r := range g.ranks {
-			for e, n := range tokens {
+			for e, n := range g.drawn(tokens) {
 				g.ranks[r].counts[e] += n
 			}
 		}
@@ -69,6 +73,28 @@
 	}
 }
 
+// drawn returns as many tokens, of experts that are drawn with the same shares.
+func (g *fakeGroup) drawn(tokens []uint64) []uint64 {
+	if g.random == nil {
+		return tokens
+	}
+	var choices []int
+	for e, n := range tokens {
+		choices = append(choices, slices.Repeat([]int{e}, int(n))...)
+	}
+	drawn := make([]uint64, len(tokens))
+	for range choices {
+		drawn[choices[g.random.IntN(len(choices))]]++
+	}
+	return drawn
+}
+
+func (g *fakeGroup) setRandom(random *rand.Rand) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.random = random
+}
+
 func (g *fakeGroup) beginPass() {
 	for _, r := range g.ranks {
 		if r.status.Held == g.step+1 {
@@ -159,6 +185,11 @@
 
 func (v view) ObserveOwn(context.Context) (Observation, error) { return v.observe(v.rank) }
 
+func (v view) OwnCounts(context.Context) ([]uint64, error) {
+	o, err := v.observe(v.rank)
+	return o.Counts, err
+}
+
 func (v view) ObserveRank(_ context.Context, rank int, lists bool) (Observation, error) {
 	o, err := v.observe(rank)
 	if !v.group.isSilent(rank) {
--- a/steward/lead/port.go
+++ b/steward/lead/port.go
@@ -23,6 +23,9 @@
 type Ranks interface {
 	// ObserveOwn observes the own rank.
 	ObserveOwn(ctx context.Context) (Observation, error)
+	// OwnCounts reads the counts of the own rank alone, which costs less than
+	// ObserveOwn.
+	OwnCounts(ctx context.Context) ([]uint64, error)
 	// ObserveRank observes one rank through its steward. If that does not answer, it
 	// queries the rank directly; then the observation has no counts, has lists only
 	// on request, and may be slightly out of date.
--- a/steward/ranks/groups_test.go
+++ b/steward/ranks/groups_test.go
@@ -49,6 +49,11 @@
 	return o, err
 }
 
+func (e groupEngine) Counts(ctx context.Context) ([]uint64, error) {
+	o, err := e.Observe(ctx)
+	return o.Counts, err
+}
+
 func (e groupEngine) Order(context.Context, switching.Order) (switching.Result, error) {
 	return switching.Done, nil
 }
--- a/steward/ranks/ranks.go
+++ b/steward/ranks/ranks.go
@@ -32,6 +32,8 @@
 	ownMapTimeout = 120 * time.Millisecond
 	ownAttempts   = 3
 
+	countsTimeout = 50 * time.Millisecond // for the counts of the own rank; the leader reads them between its rounds, which a later answer would delay
+
 	// maxCountReporters is the number of ranks that report their counts. Requests are
 	// spread evenly over all ranks, so more reports, of a few kilobytes each, would add
 	// little information.
@@ -58,6 +60,8 @@
 	StatusWithLists(ctx context.Context) (lead.Observation, error)
 	// Observe reads the rank's status, lists and counts.
 	Observe(ctx context.Context) (lead.Observation, error)
+	// Counts reads the rank's counts.
+	Counts(ctx context.Context) ([]uint64, error)
 	// Order sends an order to the rank.
 	Order(ctx context.Context, o switching.Order) (switching.Result, error)
 }
@@ -204,6 +208,13 @@
 	return r.own.Observe(ctx)
 }
 
+// OwnCounts reads the counts of the own rank alone, which costs less than ObserveOwn.
+func (r *Ranks) OwnCounts(ctx context.Context) ([]uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, countsTimeout)
+	defer cancel()
+	return r.own.Counts(ctx)
+}
+
 // ObserveRank observes one rank through its steward. If that does not answer, it
 // queries the rank directly; then the observation has no counts, has lists only on
 // request, since they are expensive to read from another instance, and may be
--- a/steward/ranks/ranks_test.go
+++ b/steward/ranks/ranks_test.go
@@ -56,6 +56,11 @@
 	return o, err
 }
 
+func (e fakeEngine) Counts(ctx context.Context) ([]uint64, error) {
+	o, err := e.Observe(ctx)
+	return o.Counts, err
+}
+
 func (e fakeEngine) Order(ctx context.Context, o switching.Order) (switching.Result, error) {
 	if e.engines.fleet.record(o.Rank, e.engines.steward) {
 		<-ctx.Done()
