Read the counts after a shift as soon as a pass has added enough

Cause: passes may take longer than 100 ms, in particular after a shift. Then the counts that the ranks report 100 ms after the baseline hold no pass, and the leader waited for 250 ms, and asked the ranks once more than needed.

Change: from 100 ms after the baseline on, the leader reads its own rank's counts every 25 ms. It asks the others when its own rank has a fifth of the counts of a usual window, and in any case after 250 ms. All ranks run a pass together, so that the others then have them too.

Measured: TestShift, now also with passes of 120 ms.

--- a/steward/lead/demand.go
+++ b/steward/lead/demand.go
@@ -13,11 +13,12 @@
 	maxCountAge     = 8 * measureInterval    // the increase since older counts is dropped, since it includes past demand
 	minMeasurements = 3                      // measurements before the first plan
 
-	// shiftInterval is the length of the first measurement after a shift.
+	// shiftInterval is the length of the first measurement after a shift, at least.
 	shiftInterval = 100 * time.Millisecond
 	// minShiftShare is the share of the counts of a usual measurement from which on
 	// one after a shift is used alone: those of shiftInterval at half the usual load.
-	// With fewer counts it goes on for measureInterval in all.
+	// It goes on until the own rank has that many, for at most measureInterval. At a
+	// shift, passes may take longer than shiftInterval.
 	minShiftShare = 0.2
 )
 
@@ -25,20 +26,27 @@
 //
 // After a sudden shift, the measurement in progress includes counts of both demands.
 // So it is discarded when the shift is noticed: the ranks report their counts at once,
-// as a baseline, and again after shiftInterval.
+// as a baseline, and again when the own rank has enough counts since then.
 type demand struct {
 	lastCounts   map[int]rankCounts // latest counts by rank
 	window       [][]float64        // counts since the last measurement, by layer set and expert
 	measuredAt   time.Time          // when the last measurement ended
 	demands      []expert.Demand    // by layer set
 	measurements int                // measurements so far, without those that had no counts
-	usualCounts  float64            // counts of a usual measurement, or 0 if there was none
+	total        totals             // of the window
+	usual        totals             // of a usual measurement, or zero if there was none
 
 	detector   expert.Detector
 	watched    rankCounts // the own rank's counts when they were last passed to the detector
 	shifted    bool       // a shift was noticed, and no measurement after it has ended
 	baselineAt time.Time  // when the ranks reported the baseline after the shift, or zero
-	readAt     time.Time  // when their next counts after the baseline are due, or zero
+	readAt     time.Time  // when their next counts after the baseline are due at the earliest, or zero
+	ownEnough  bool       // the own rank has enough counts since the baseline
+}
+
+// totals holds the number of counts of all ranks and that of the own rank alone.
+type totals struct {
+	all, own float64
 }
 
 // rankCounts holds the counts of a rank at a point in time.
@@ -51,7 +59,7 @@
 // counts.
 func (d *demand) due(now time.Time) bool {
 	if d.shifted {
-		return !now.Before(d.readAt)
+		return !now.Before(d.readAt) && (d.baselineAt.IsZero() || d.ownEnough || now.Sub(d.baselineAt) >= measureInterval)
 	}
 	return now.Sub(d.measuredAt) >= measureInterval
 }
@@ -66,7 +74,7 @@
 	}
 	begins := d.shifted && d.baselineAt.IsZero() && requested
 	if begins {
-		d.lastCounts, d.window = map[int]rankCounts{}, newWindow(shape)
+		d.lastCounts, d.window, d.total = map[int]rankCounts{}, newWindow(shape), totals{}
 		d.baselineAt, d.readAt = now, now.Add(shiftInterval)
 	}
 	for rank, o := range observed {
@@ -74,7 +82,11 @@
 			continue
 		}
 		if last := d.lastCounts[rank]; now.Sub(last.at) < maxCountAge {
-			addCounts(d.window, last.counts, o.Counts, shape.Experts)
+			added := addCounts(d.window, last.counts, o.Counts, shape.Experts)
+			d.total.all += added
+			if rank == switching.Leader {
+				d.total.own += added
+			}
 		}
 		d.lastCounts[rank] = rankCounts{counts: o.Counts, at: now}
 	}
@@ -91,13 +103,7 @@
 // end ends the measurement in progress, unless it is the one after a shift and has too
 // few counts yet.
 func (d *demand) end(shape route.Engine, now time.Time) {
-	total := 0.0
-	for _, counts := range d.window {
-		for _, n := range counts {
-			total += n
-		}
-	}
-	enough := total >= minShiftShare*d.usualCounts
+	enough := d.total.all >= minShiftShare*d.usual.all
 	if d.shifted && !enough && now.Sub(d.baselineAt) < measureInterval {
 		d.readAt = d.baselineAt.Add(measureInterval)
 		return
@@ -109,24 +115,34 @@
 		}
 		d.demands[set] = after
 	}
-	if total > 0 {
+	if d.total.all > 0 {
 		d.measurements++
 	}
 	switch {
 	case d.shifted:
-		d.shifted, d.baselineAt, d.readAt, d.watched = false, time.Time{}, time.Time{}, d.lastCounts[switching.Leader]
-	case d.usualCounts == 0:
-		d.usualCounts = total
-	case total > 0:
-		d.usualCounts = (d.usualCounts + total*float64(measureInterval)/float64(max(measureInterval, now.Sub(d.measuredAt)))) / 2
-	}
-	d.window, d.measuredAt = newWindow(shape), now
+		d.shifted, d.baselineAt, d.readAt, d.ownEnough, d.watched = false, time.Time{}, time.Time{}, false, d.lastCounts[switching.Leader]
+	case d.usual.all == 0:
+		d.usual = d.total
+	case d.total.all > 0:
+		part := float64(measureInterval) / float64(max(measureInterval, now.Sub(d.measuredAt)))
+		d.usual = totals{all: (d.usual.all + d.total.all*part) / 2, own: (d.usual.own + d.total.own*part) / 2}
+	}
+	d.window, d.total, d.measuredAt = newWindow(shape), totals{}, now
 }
 
 // watch passes the increase of the own rank's counts to the detector, unless it did so
-// less than minWatchGap ago. It reports whether the detector notices a shift.
+// less than minWatchGap ago. It reports whether the detector notices a shift. After a
+// shift it notes whether the own rank has enough counts instead.
 func (d *demand) watch(counts []uint64, shape route.Engine, now time.Time) (expert.Finding, bool) {
-	if d.shifted || !d.fits(shape) || len(counts) != shape.Layers*shape.Experts || now.Sub(d.watched.at) < minWatchGap {
+	if !d.fits(shape) || len(counts) != shape.Layers*shape.Experts {
+		return expert.Finding{}, false
+	}
+	if d.shifted {
+		increase := addCounts(newWindow(shape), d.lastCounts[switching.Leader].counts, counts, shape.Experts)
+		d.ownEnough = !d.baselineAt.IsZero() && d.total.own+increase >= minShiftShare*d.usual.own
+		return expert.Finding{}, false
+	}
+	if now.Sub(d.watched.at) < minWatchGap {
 		return expert.Finding{}, false
 	}
 	last := d.watched
@@ -156,17 +172,21 @@
 	return window
 }
 
-// addCounts adds the increase of a rank's counts to a window.
-func addCounts(window [][]float64, last, current []uint64, experts int) {
+// addCounts adds the increase of a rank's counts to a window, and returns its sum.
+func addCounts(window [][]float64, last, current []uint64, experts int) float64 {
 	if len(last) != len(current) {
-		return
+		return 0
 	}
 	for i := range current {
 		if current[i] < last[i] {
-			return // the rank restarted
+			return 0 // the rank restarted
 		}
 	}
+	added := 0.0
 	for i := range current {
-		window[i/experts][i%experts] += float64(current[i] - last[i])
+		n := float64(current[i] - last[i])
+		window[i/experts][i%experts] += n
+		added += n
 	}
+	return added
 }
--- a/steward/lead/demand_test.go
+++ b/steward/lead/demand_test.go
@@ -15,47 +15,33 @@
 }
 
 // TestMeasurementAfterShift guards against a plan for too few counts, or for counts of
-// ranks for which there is no baseline after the shift.
+// ranks for which there is no baseline after the shift, and against reading the ranks'
+// counts although the own rank has too few.
 func TestMeasurementAfterShift(t *testing.T) {
 	zero := []uint64{500, 0, 0, 500}
-	baseline := map[int][]uint64{0: zero, 1: zero}
+	baseline := reading{0, map[int][]uint64{0: zero, 1: zero}}
+	at := func(milliseconds int, own, other []uint64) reading {
+		return reading{time.Duration(milliseconds) * time.Millisecond, map[int][]uint64{0: own, 1: other}}
+	}
+	second := func(n uint64) []uint64 { return []uint64{500, n, 0, 500} }
 	tests := []struct {
 		name     string
 		readings []reading // the first is the baseline
-		readAt   time.Duration
+		reads    int       // of these, those at which the ranks are asked for their counts
 		want     []float64 // demand after the last reading
 		shifted  bool      // the measurement is still in progress then
 	}{
-		{"enough after 100 ms", []reading{{0, baseline}, {100 * time.Millisecond, map[int][]uint64{0: {500, 100, 0, 500}, 1: {500, 100, 0, 500}}}}, 0, []float64{0, 1, 0, 0}, false},
-		{"too few after 100 ms", []reading{{0, baseline}, {100 * time.Millisecond, map[int][]uint64{0: {500, 90, 0, 500}, 1: {500, 90, 0, 500}}}}, 250 * time.Millisecond, []float64{0.5, 0, 0, 0.5}, true},
-		{"a small shift", []reading{{0, baseline}, {100 * time.Millisecond, map[int][]uint64{0: {585, 30, 0, 585}, 1: {585, 30, 0, 585}}}}, 0, []float64{0.425, 0.15, 0, 0.425}, false},
-		{"few after 250 ms, far from the demand", []reading{
-			{0, baseline},
-			{100 * time.Millisecond, map[int][]uint64{0: zero, 1: {500, 90, 0, 500}}},
-			{250 * time.Millisecond, map[int][]uint64{0: zero, 1: {500, 180, 0, 500}}},
-		}, 0, []float64{0, 1, 0, 0}, false},
-		{"few after 250 ms, as noise makes them", []reading{
-			{0, baseline},
-			{100 * time.Millisecond, map[int][]uint64{0: zero, 1: zero}},
-			{250 * time.Millisecond, map[int][]uint64{0: zero, 1: {501, 1, 0, 500}}},
-		}, 0, []float64{0.5, 0.25, 0, 0.25}, false},
-		{"none after 250 ms", []reading{
-			{0, baseline},
-			{100 * time.Millisecond, baseline},
-			{250 * time.Millisecond, baseline},
-		}, 0, []float64{0.5, 0, 0, 0.5}, false},
-		{"a rank without a baseline", []reading{
-			{0, map[int][]uint64{0: zero}},
-			{100 * time.Millisecond, map[int][]uint64{0: {500, 300, 0, 500}, 1: {900, 0, 0, 500}}},
-		}, 0, []float64{0, 1, 0, 0}, false},
-		{"a rank that restarts", []reading{
-			{0, baseline},
-			{100 * time.Millisecond, map[int][]uint64{0: {500, 300, 0, 500}, 1: {9, 0, 0, 0}}},
-		}, 0, []float64{0, 1, 0, 0}, false},
-		{"a pause", []reading{
-			{0, baseline},
-			{maxCountAge, map[int][]uint64{0: {500, 300, 0, 500}, 1: {500, 300, 0, 500}}},
-		}, 0, []float64{0.5, 0, 0, 0.5}, false},
+		{"enough after 100 ms", []reading{baseline, at(100, second(100), second(100))}, 2, []float64{0, 1, 0, 0}, false},
+		{"too few after 100 ms", []reading{baseline, at(100, second(99), second(99))}, 1, []float64{0.5, 0, 0, 0.5}, true},
+		{"enough after 150 ms", []reading{baseline, at(100, zero, zero), at(150, second(300), second(300))}, 2, []float64{0, 1, 0, 0}, false},
+		{"too few at another rank", []reading{baseline, at(100, second(100), zero), at(150, second(150), zero)}, 2, []float64{0.5, 0, 0, 0.5}, true},
+		{"a small shift", []reading{baseline, at(100, []uint64{585, 30, 0, 585}, []uint64{585, 30, 0, 585})}, 2, []float64{0.425, 0.15, 0, 0.425}, false},
+		{"few after 250 ms, far from the demand", []reading{baseline, at(100, second(100), second(20)), at(250, second(110), second(40))}, 3, []float64{0, 1, 0, 0}, false},
+		{"few after 250 ms, as noise makes them", []reading{baseline, at(100, zero, zero), at(250, zero, []uint64{501, 1, 0, 500})}, 2, []float64{0.5, 0.25, 0, 0.25}, false},
+		{"none after 250 ms", []reading{baseline, at(100, zero, zero), at(250, zero, zero)}, 2, []float64{0.5, 0, 0, 0.5}, false},
+		{"a rank without a baseline", []reading{{0, map[int][]uint64{0: zero}}, at(100, second(300), []uint64{900, 0, 0, 500})}, 2, []float64{0, 1, 0, 0}, false},
+		{"a rank that restarts", []reading{baseline, at(100, second(300), []uint64{9, 0, 0, 0})}, 2, []float64{0, 1, 0, 0}, false},
+		{"a pause", []reading{baseline, at(int(maxCountAge/time.Millisecond), second(300), second(300))}, 2, []float64{0.5, 0, 0, 0.5}, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -64,20 +50,21 @@
 			d.add(nil, shape, false, start)
 			d.lastCounts[1] = rankCounts{counts: []uint64{100, 0, 0, 500}, at: start} // before the shift
 			d.demands[0] = expert.Demand{Load: []float64{0.5, 0, 0, 0.5}, Samples: 1000}
-			d.usualCounts, d.measurements, d.shifted = 1000, minMeasurements, true
+			d.usual, d.measurements, d.shifted = totals{all: 1000, own: 500}, minMeasurements, true
+			reads := 0
 			for _, r := range tt.readings {
 				now := start.Add(r.after)
-				if !d.due(now) {
-					t.Fatalf("no counts are due %s after the shift", r.after)
-				}
 				observed := map[int]Observation{}
 				for rank, counts := range r.counts {
 					observed[rank] = Observation{Counts: counts}
 				}
-				d.add(observed, shape, true, now)
+				if d.watch(r.counts[0], shape, now); d.due(now) {
+					d.add(observed, shape, true, now)
+					reads++
+				}
 			}
-			if d.shifted != tt.shifted || tt.shifted && !d.readAt.Equal(start.Add(tt.readAt)) {
-				t.Errorf("measurement in progress: %t, next counts due %s after the shift; want %t, %s", d.shifted, d.readAt.Sub(start), tt.shifted, tt.readAt)
+			if d.shifted != tt.shifted || reads != tt.reads {
+				t.Errorf("measurement in progress: %t, after %d reads; want %t, %d", d.shifted, reads, tt.shifted, tt.reads)
 			}
 			if d.enough() == d.shifted {
 				t.Errorf("enough to plan: %t, with a measurement after a shift in progress: %t", d.enough(), d.shifted)
--- a/steward/lead/lead.go
+++ b/steward/lead/lead.go
@@ -88,7 +88,7 @@
 func (l *Lead) interval() time.Duration {
 	interval := l.phaseInterval()
 	if l.leading && l.demand.shifted && l.measures() {
-		interval = max(heldInterval, min(interval, l.demand.readAt.Sub(l.clock())))
+		interval = max(heldInterval, min(interval, l.demand.baselineAt.Add(measureInterval).Sub(l.clock())))
 	}
 	return interval
 }
--- a/steward/lead/shift.go
+++ b/steward/lead/shift.go
@@ -12,27 +12,36 @@
 const (
 	watchInterval = measureInterval / 4   // between reads of the own rank's counts while no switch is in progress
 	minWatchGap   = 50 * time.Millisecond // between reads that are judged: in less time, the rank runs one pass or none
+	countGap      = 25 * time.Millisecond // between reads while there are too few counts after a shift
 )
 
-// pause waits until the next round is due. While no switch is in progress, the leader
-// reads the counts of its own rank meanwhile, which costs no message to another
-// instance. If the demand has shifted, the next round is due at once.
+// pause waits until the next round is due. Meanwhile the leader reads the counts of its
+// own rank, which costs no message to another instance. If the demand has shifted, or
+// there are enough counts after a shift, the next round is due at once.
 func (l *Lead) pause(ctx context.Context) {
 	end := l.clock().Add(l.interval())
-	for l.watches() && end.Sub(l.clock()) > watchInterval {
-		if !clock.Pause(ctx, watchInterval) {
+	for gap := l.readGap(); gap > 0 && end.Sub(l.clock()) > gap; gap = l.readGap() {
+		if !clock.Pause(ctx, gap) {
 			return
 		}
-		if l.readOwn(ctx); l.demand.shifted {
+		if l.readOwn(ctx); l.demand.shifted && l.demand.due(l.clock()) {
 			return
 		}
 	}
 	clock.Pause(ctx, end.Sub(l.clock()))
 }
 
-// watches reports whether to read the own rank's counts between rounds.
-func (l *Lead) watches() bool {
-	return l.leading && l.coordinator.Phase == switching.Idle && !l.demand.shifted
+// readGap returns the time until the own rank's counts are to be read between two
+// rounds, or 0 if they are not.
+func (l *Lead) readGap() time.Duration {
+	switch {
+	case !l.leading || !l.measures():
+	case !l.demand.baselineAt.IsZero():
+		return max(countGap, l.demand.readAt.Sub(l.clock()))
+	case !l.demand.shifted && l.coordinator.Phase == switching.Idle:
+		return watchInterval
+	}
+	return 0
 }
 
 // observe observes the ranks, and measures the demand when that is due.
--- a/steward/lead/shift_test.go
+++ b/steward/lead/shift_test.go
@@ -16,12 +16,15 @@
 
 // The demands of the tests, in tokens of each expert per pass.
 var (
-	firstDemand  = []uint64{12, 1, 1, 12}
-	secondDemand = []uint64{1, 24, 1, 1}
-	thirdDemand  = []uint64{1, 1, 24, 1}
+	firstDemand  = []uint64{48, 4, 4, 48}
+	secondDemand = []uint64{4, 96, 4, 4}
+	thirdDemand  = []uint64{4, 4, 96, 4}
 )
 
-const passTime = 10 * time.Millisecond // short, so that demand can shift at any point of a measurement
+const (
+	shortPass = 10 * time.Millisecond // demand can shift at any point of a measurement
+	longPass  = 120 * time.Millisecond
+)
 
 // shiftingRanks is a view of a group whose demand shifts. It records the first Prepare
 // order of a new version after the last shift, and how often the ranks were observed.
@@ -105,7 +108,7 @@
 }
 
 // startShifting starts a leader of a group with the first demand.
-func startShifting(copyTime time.Duration) (r *shiftingRanks, tokens []uint64, stop func()) {
+func startShifting(passTime, copyTime time.Duration) (r *shiftingRanks, tokens []uint64, stop func()) {
 	tokens = slices.Clone(firstDemand)
 	r = &shiftingRanks{copyingRanks: copyingRanks{view: view{newGroup(make([]uint64, 4)), 0}, copyTime: copyTime, onFirst: func() {}}}
 	go r.group.runEvery(passTime, tokens)
@@ -153,37 +156,42 @@
 // TestShift guards against a plan for a mixture of the demands before and after a shift,
 // which is followed by another one, and against a plan that is late.
 func TestShift(t *testing.T) {
-	const copyTime = 450 * time.Millisecond
-	for offset := time.Duration(0); offset < measureInterval; offset += 35 * time.Millisecond {
-		t.Run(fmt.Sprint("idle, ", offset), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ranks, tokens, stop := startShifting(copyTime)
-				defer stop()
-				time.Sleep(4*time.Second + offset)
-				ranks.shift(tokens, secondDemand)
-				time.Sleep(time.Second)
-				ranks.check(t, secondDemand)
+	for _, passTime := range []time.Duration{shortPass, longPass} {
+		for offset := time.Duration(0); offset < measureInterval; offset += 35 * time.Millisecond {
+			t.Run(fmt.Sprintf("idle, %s, passes of %s", offset, passTime), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { shiftWhileIdle(t, passTime, offset) })
 			})
-		})
-		t.Run(fmt.Sprint("copying, ", offset), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ranks, tokens, stop := startShifting(copyTime)
-				defer stop()
-				time.Sleep(4 * time.Second)
-				ranks.shift(tokens, secondDemand)
-				for ordered := false; !ordered; {
-					time.Sleep(time.Millisecond)
-					ranks.mu.Lock()
-					ordered = !ranks.orderedAt.IsZero()
-					ranks.mu.Unlock()
-				}
-				time.Sleep(offset)
-				ranks.shift(tokens, thirdDemand)
-				time.Sleep(time.Second)
-				ranks.check(t, thirdDemand)
+			t.Run(fmt.Sprintf("copying, %s, passes of %s", offset, passTime), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { shiftWhileRanksCopy(t, passTime, offset) })
 			})
-		})
+		}
+	}
+}
+
+func shiftWhileIdle(t *testing.T, passTime, offset time.Duration) {
+	ranks, tokens, stop := startShifting(passTime, 450*time.Millisecond)
+	defer stop()
+	time.Sleep(4*time.Second + offset)
+	ranks.shift(tokens, secondDemand)
+	time.Sleep(time.Second)
+	ranks.check(t, secondDemand)
+}
+
+func shiftWhileRanksCopy(t *testing.T, passTime, offset time.Duration) {
+	ranks, tokens, stop := startShifting(passTime, 450*time.Millisecond)
+	defer stop()
+	time.Sleep(4 * time.Second)
+	ranks.shift(tokens, secondDemand)
+	for ordered := false; !ordered; {
+		time.Sleep(time.Millisecond)
+		ranks.mu.Lock()
+		ordered = !ranks.orderedAt.IsZero()
+		ranks.mu.Unlock()
 	}
+	time.Sleep(offset)
+	ranks.shift(tokens, thirdDemand)
+	time.Sleep(time.Second)
+	ranks.check(t, thirdDemand)
 }
 
 // TestSteadyDemand guards against detection that costs messages between instances while
@@ -192,7 +200,7 @@
 func TestSteadyDemand(t *testing.T) {
 	const seconds = 20
 	synctest.Test(t, func(t *testing.T) {
-		ranks, tokens, stop := startShifting(50 * time.Millisecond)
+		ranks, tokens, stop := startShifting(shortPass, 50*time.Millisecond)
 		defer stop()
 		ranks.group.setRandom(rand.New(rand.NewPCG(3, 5)))
 		time.Sleep(4 * time.Second)
@@ -226,7 +234,7 @@
 // both demands, since the demand shifted while the ranks were queried for them.
 func TestShiftWhileRanksAnswerSlowly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ranks, tokens, stop := startShifting(50 * time.Millisecond)
+		ranks, tokens, stop := startShifting(shortPass, 50*time.Millisecond)
 		defer stop()
 		time.Sleep(4 * time.Second)
 		ranks.mu.Lock()
@@ -245,7 +253,7 @@
 // its own rank's counts.
 func TestShiftWithoutOwnCounts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ranks, tokens, stop := startShifting(50 * time.Millisecond)
+		ranks, tokens, stop := startShifting(shortPass, 50*time.Millisecond)
 		defer stop()
 		ranks.mu.Lock()
 		ranks.unreadable = true
