Test that counts of a pause or a restart are no shift

Cause: the detector of shifts is fed from counts whose difference may span a pause of the leader, a restart of the rank or too short a time. No test covered these.

--- a/steward/lead/demand_test.go
+++ b/steward/lead/demand_test.go
@@ -78,3 +78,34 @@
 		})
 	}
 }
+
+// TestWatch guards against a shift that is reported for counts of a pause or of a rank
+// that restarted, and for counts that were read too soon after each other.
+func TestWatch(t *testing.T) {
+	tests := []struct {
+		name    string
+		after   time.Duration // since the counts that were last judged
+		counts  []uint64
+		shifted bool
+	}{
+		{"a shift", minWatchGap, []uint64{500, 100, 0, 500}, true},
+		{"unchanged demand", minWatchGap, []uint64{550, 0, 0, 550}, false},
+		{"no counts", minWatchGap, []uint64{500, 0, 0, 500}, false},
+		{"too soon", minWatchGap - time.Millisecond, []uint64{500, 100, 0, 500}, false},
+		{"after a pause", maxCountAge, []uint64{500, 100, 0, 500}, false},
+		{"a rank that restarted", minWatchGap, []uint64{0, 100, 0, 0}, false},
+		{"counts of another shape", minWatchGap, []uint64{500, 100}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			var d demand
+			d.add(nil, shape, false, start)
+			d.demands[0] = expert.Demand{Load: []float64{0.5, 0, 0, 0.5}, Samples: 1000}
+			d.watch([]uint64{500, 0, 0, 500}, shape, start)
+			if found, shifted := d.watch(tt.counts, shape, start.Add(tt.after)); shifted != tt.shifted || d.shifted != tt.shifted {
+				t.Errorf("shift: %t, %+v; want %t", shifted, found, tt.shifted)
+			}
+		})
+	}
+}
