Compute the noise of a demand known from few counts exactly

Cause: the detector of shifts estimated sampling noise with the known demand in place of the true one.

Change: the noise is that of two samples of one demand: of an expert's tokens in the window and in the known demand's measurement together, the number in the window has a binomial distribution.

--- a/core/expert/shift.go
+++ b/core/expert/shift.go
@@ -102,30 +102,33 @@
 
 // compare returns the total variation distance of a window to the demand, and its
 // mean and variance if only sampling noise, of the window and of the demand's own
-// measurement, makes them differ.
+// measurement, makes them differ. Of the tokens of an expert in both, the number in the
+// window then has a binomial distribution.
 func (d Demand) compare(counts []float64, total float64) (distance, noise, variance float64) {
-	wider := 1 + total/d.Samples // the noise of the demand's own measurement adds to the variance
+	part := total / (total + d.Samples) // of the tokens that are in the window
 	for e, count := range counts {
-		mean := d.Load[e] * total
-		deviation := meanDeviation(mean)
-		distance += math.Abs(count - mean)
+		both := count + d.Load[e]*d.Samples
+		deviation := meanDeviation(both, part)
+		distance += math.Abs(count - both*part)
 		noise += deviation
-		variance += mean - deviation*deviation
+		variance += both*part*(1-part) - deviation*deviation
 	}
-	return distance / total / 2, min(1, noise*math.Sqrt(wider)/total/2), variance * wider / (total * total) / 4
+	scale := (1/total + 1/d.Samples) / 2
+	return distance * scale, noise * scale, variance * scale * scale
 }
 
-// meanDeviation returns the mean absolute deviation of a Poisson distribution with
-// that mean.
-func meanDeviation(mean float64) float64 {
-	const large = 30 // from which on the normal distribution is within 0.3%
-	switch {
-	case mean <= 0:
-		return 0
-	case mean >= large:
-		return math.Sqrt(2 * mean / math.Pi)
+// meanDeviation returns the mean absolute deviation of a binomial distribution of that
+// many trials, of which each has that probability of success.
+func meanDeviation(trials, probability float64) float64 {
+	const large = 30 // variance from which on the normal distribution is within 0.5%
+	mean := trials * probability
+	if variance := mean * (1 - probability); variance >= large {
+		return math.Sqrt(2 * variance / math.Pi)
 	}
 	below := math.Floor(mean)
-	logFactorial, _ := math.Lgamma(below + 1)
-	return 2 * math.Exp((below+1)*math.Log(mean)-mean-logFactorial)
+	deviation := 2 * (below + 1) * math.Pow(1-probability, trials-below)
+	for k := 0.0; k <= below; k++ {
+		deviation *= (trials - k) / (k + 1) * probability
+	}
+	return deviation
 }
