core/expert: Plan all layers of a group together

A rank copies one expert at a time, for all layers of a switch. Plan sees one layer, so that the fullest rank got up to twice the mean copies and the switch waited for it.

PlanAll counts the copies of each rank over all layers. A change costs the time that it leaves to the slowest rank plus a price for each copy, 3% of the balanced time for the first copy to a rank and n^1.5 times as much for the n-th. A rank gets at most ceil(1.5 * mean) + 1. A layer that misses the target is planned again without prices.

The search, which Plan shares, keeps the share of each replica, tables of holders and bounds on the shares of each rank. It evaluates a change only if bounds on its time and price leave it a chance, after those of the fastest rank. replicaCounts keeps the shares, and alignRanks stops at the first rank that exceeds the limit.

--- a/core/expert/map.go
+++ b/core/expert/map.go
@@ -166,13 +166,14 @@
 // expert has at most one replica per rank.
 func replicaCounts(load []float64, ranks, slots int) []int {
 	replicas := make([]int, len(load))
+	shares := slices.Clone(load)
 	for e := range replicas {
 		replicas[e] = 1
 	}
 	for range ranks*slots - len(load) {
 		hottest := -1
-		for e := range load {
-			if replicas[e] < ranks && (hottest < 0 || load[e]/float64(replicas[e]) > load[hottest]/float64(replicas[hottest])) {
+		for e, share := range shares {
+			if replicas[e] < ranks && (hottest < 0 || share > shares[hottest]) {
 				hottest = e
 			}
 		}
@@ -180,6 +181,7 @@
 			break
 		}
 		replicas[hottest]++
+		shares[hottest] = load[hottest] / float64(replicas[hottest])
 	}
 	return replicas
 }
--- a/core/expert/plan.go
+++ b/core/expert/plan.go
@@ -70,48 +70,73 @@
 // skew, or if the search finds nothing better. The second result is the current
 // skew divided by MinSkew, or 0 if there are no samples.
 func Plan(current Layer, demand Demand, speeds []float64, b Bounds) (Layer, float64) {
+	p := plan(current, demand, speeds, b, budget{})
+	return p.layer, p.skew
+}
+
+// layerPlan is the plan of one layer.
+type layerPlan struct {
+	layer     Layer
+	skew      float64 // skew before the plan divided by MinSkew, or 0 if there are no samples
+	reached   float64 // skew of the planned layer, or 0 if the layer was kept
+	missed    bool    // whether reached is above the target
+	newCounts []int   // number of experts in each rank that are new to it, or nil if the layer was kept
+}
+
+// plan plans a layer within a budget.
+func plan(current Layer, demand Demand, speeds []float64, b Bounds, spent budget) layerPlan {
 	if demand.Samples == 0 {
-		return current, 0
+		return layerPlan{layer: current}
 	}
 	least, skew := MinSkew(demand.Load, speeds, current.slots), current.Skew(demand.Load, speeds)
 	if skew <= least*(b.Trigger+b.Doubt*demand.noise(current)) {
-		return current, skew / least
+		return layerPlan{layer: current, skew: skew / least}
 	}
-	s, target := newSearch(current, demand.Load, speeds, b.MaxNewPerRank), b.Target*least
+	s, target := newSearch(current, demand.Load, speeds, b.MaxNewPerRank, spent), b.Target*least
 	best, reached := s.optimize(current, target, b.Perturbations)
-	if reached <= target {
-		return best, skew / least
-	}
-	repacked := alignRanks(pack(demand.Load, speeds, current.slots), current, speeds)
-	if s.reset(repacked); slices.Max(s.newCounts) > b.MaxNewPerRank {
-		return best, skew / least
-	}
-	if improved, after := s.optimize(repacked, target, b.Perturbations); after < reached {
-		return improved, skew / least
+	if reached > target {
+		repacked, aligned := alignRanks(pack(demand.Load, speeds, current.slots), current, speeds, len(demand.Load), b.MaxNewPerRank)
+		if aligned && s.fits(repacked) {
+			if improved, after := s.optimize(repacked, target, b.Perturbations); after < reached {
+				best, reached = improved, after
+			}
+		}
 	}
-	return best, skew / least
+	s.reset(best)
+	return layerPlan{layer: best, skew: skew / least, reached: reached, missed: reached > target, newCounts: s.newCounts}
 }
 
 // alignRanks returns the wanted placement with ranks of equal speed renumbered, so
-// that each keeps many of the experts that it holds in the current placement.
-func alignRanks(wanted, current Layer, speeds []float64) Layer {
+// that each keeps many of the experts that it holds in the current placement. It
+// reports whether each rank then has at most maxNew new experts.
+func alignRanks(wanted, current Layer, speeds []float64, experts, maxNew int) (Layer, bool) {
 	ranks, slots := wanted.Ranks(), wanted.slots
 	held := make([]int, len(wanted.held))
 	taken := make([]bool, ranks)
 	for r := range ranks {
 		bestRank, mostCommon := -1, -1
+		own := current.held[r*slots : (r+1)*slots]
 		for w := range ranks {
 			if taken[w] || speeds[w] != speeds[r] {
 				continue
 			}
-			if common := overlap(wanted.Held(w), current.Held(r)); common > mostCommon {
+			if common := overlap(wanted.held[w*slots:(w+1)*slots], own); common > mostCommon {
 				bestRank, mostCommon = w, common
 			}
 		}
 		taken[bestRank] = true
-		copy(held[r*slots:], wanted.held[bestRank*slots:(bestRank+1)*slots])
+		added := 0
+		for k, e := range wanted.held[bestRank*slots : (bestRank+1)*slots] {
+			held[r*slots+k] = e
+			if e != experts && !slices.Contains(own, e) {
+				added++
+			}
+		}
+		if added > maxNew {
+			return Layer{}, false
+		}
 	}
-	return Layer{slots: slots, held: held}
+	return Layer{slots: slots, held: held}, true
 }
 
 // overlap returns the number of elements of a that are also in b.
--- a/core/expert/search.go
+++ b/core/expert/search.go
@@ -11,28 +11,43 @@
 type search struct {
 	slots    int
 	held     []int
-	load     []float64
+	load     []float64 // of each expert; the last element is for unused slots
+	shares   []float64 // load of each replica of an expert
 	speeds   []float64
 	times    []float64 // time of each rank for one step
 	holders  [][]int   // ranks that hold each expert, once per replica
+	holds    []bool    // by rank and expert: whether the rank is among the holders
 	balanced float64   // time of a perfectly balanced step
 
-	initial       [][]bool // by rank and expert: whether the rank held the expert at the start
-	newCounts     []int    // number of experts in each rank that are new to it
-	maxNewPerRank int      // maximum of newCounts
+	initial       []bool // by rank and expert: whether the rank held the expert at the start
+	newCounts     []int  // number of experts in each rank that are new to it
+	maxNewPerRank int    // maximum of newCounts
+	budget        budget
+	prices        []float64 // time that a change must gain for another copy to each rank
+
+	minShares, maxShares []float64 // of the experts in each rank
+	sources              []source  // of bestChange
 }
 
-func newSearch(l Layer, load, speeds []float64, maxNewPerRank int) *search {
-	load = append(slices.Clone(load), 0) // the last element is for unused slots
+func newSearch(l Layer, load, speeds []float64, maxNewPerRank int, b budget) *search {
+	ranks, experts := len(speeds), len(load)+1
+	floats, flags := make([]float64, 2*experts+4*ranks), make([]bool, 2*ranks*experts)
 	s := &search{
-		slots: l.slots, load: load, speeds: speeds, balanced: balancedTime(load, speeds),
-		maxNewPerRank: maxNewPerRank, newCounts: make([]int, len(speeds)), initial: make([][]bool, len(speeds)),
-	}
-	for r := range s.initial {
-		s.initial[r] = make([]bool, len(load))
-		for _, e := range l.Held(r) {
-			s.initial[r][e] = true
-		}
+		slots: l.slots, speeds: speeds, balanced: balancedTime(load, speeds), maxNewPerRank: maxNewPerRank, budget: b,
+		held: make([]int, len(l.held)), holders: make([][]int, experts), newCounts: make([]int, ranks), sources: make([]source, l.slots),
+		load: floats[:experts], shares: floats[experts : 2*experts], times: floats[2*experts:][:ranks], prices: floats[2*experts+ranks:][:ranks],
+		maxShares: floats[2*experts+2*ranks:][:ranks], minShares: floats[2*experts+3*ranks:],
+		holds: flags[:ranks*experts], initial: flags[ranks*experts:],
+	}
+	copy(s.load, load)
+	// Few experts have more replicas than fit into their part of this slice.
+	const replicas = 4
+	ranksOf := make([]int, replicas*experts)
+	for e := range s.holders {
+		s.holders[e] = ranksOf[replicas*e : replicas*e : replicas*(e+1)]
+	}
+	for slot, e := range l.held {
+		s.initial[slot/s.slots*experts+e] = true
 	}
 	s.reset(l)
 	return s
@@ -40,18 +55,29 @@
 
 // reset replaces the placement; initial stays as it is.
 func (s *search) reset(l Layer) {
-	s.held = slices.Clone(l.held)
-	s.holders = make([][]int, len(s.load))
+	copy(s.held, l.held)
+	clear(s.newCounts)
+	clear(s.holds)
+	for e := range s.holders {
+		s.holders[e] = s.holders[e][:0]
+	}
 	for slot, e := range s.held {
-		s.holders[e] = append(s.holders[e], slot/s.slots)
+		r := slot / s.slots
+		s.holders[e] = append(s.holders[e], r)
+		s.holds[r*len(s.load)+e] = true
+		s.newCounts[r] += s.newCount(r, e)
 	}
-	for r := range s.newCounts {
-		s.newCounts[r] = 0
-		for _, e := range l.Held(r) {
-			s.newCounts[r] += s.newCount(r, e)
-		}
+	for e := range s.shares {
+		s.updateShare(e)
 	}
-	s.times = l.Times(s.load, s.speeds)
+	for r := range s.times {
+		s.updateTime(r)
+		s.times[r] = 0
+	}
+	for slot, e := range s.held { // in the order of Layer.Times, for the same rounding
+		s.times[slot/s.slots] += s.shares[e] / s.speeds[slot/s.slots]
+	}
+	s.budget.setPrices(s.prices, s.newCounts, s.balanced)
 }
 
 // layer returns the placement.
@@ -59,17 +85,10 @@
 	return Layer{slots: s.slots, held: slices.Clone(s.held)}
 }
 
-// share returns the load of each replica of an expert that has the given number of
-// replicas.
-func (s *search) share(expert, replicas int) float64 {
-	return s.load[expert] / float64(replicas)
-}
-
-// change puts other experts into one or two slots.
-type change struct {
-	slot, expert   int
-	slot2, expert2 int     // slot2 is -1 if only one slot changes
-	maxTime        float64 // longest time, after the change, of the ranks whose time changes
+// fits reports whether the copies of a placement are within the budget.
+func (s *search) fits(l Layer) bool {
+	s.reset(l)
+	return s.budget.fits(s.newCounts)
 }
 
 // optimize improves a placement until its skew reaches the target or the given
@@ -151,78 +170,9 @@
 	return slowest
 }
 
-// bestChange returns the change with the least maxTime among those that involve an
-// expert of the slowest rank, and reports whether any has a maxTime below that
-// rank's time. The factor 1 - 1e-9 excludes gains that are due to rounding.
-func (s *search) bestChange(slowest int) (change, bool) {
-	best := change{maxTime: s.times[slowest] * (1 - 1e-9)}
-	found := false
-	for k := range s.slots {
-		slot := slowest*s.slots + k
-		for other := range s.held {
-			if c := s.replicaChange(slot, other, best.maxTime); c.maxTime < best.maxTime {
-				best, found = c, true
-			}
-			if c := s.swapChange(slot, other); c.maxTime < best.maxTime {
-				best, found = c, true
-			}
-		}
-	}
-	return best, found
-}
-
-// noChange is returned for a change that is not allowed or doesn't help.
-var noChange = change{maxTime: math.Inf(1)}
-
-// replicaChange returns the change that puts another replica of the expert in slot
-// into the slot other, in place of its expert. It returns noChange if the change
-// is not allowed, if the replaced expert has no further replica, or if maxTime
-// would be at least the limit.
-func (s *search) replicaChange(slot, other int, limit float64) change {
-	x, y := s.held[slot], s.held[other]
-	q := other / s.slots
-	if !s.allows(q, y, x) || x == y || len(s.holders[y]) < 2 || slices.Contains(s.holders[x], q) {
-		return noChange
-	}
-	replicasX, replicasY := len(s.holders[x]), len(s.holders[y])
-	deltaX, deltaY := s.share(x, replicasX+1)-s.share(x, replicasX), s.share(y, replicasY-1)-s.share(y, replicasY)
-	maxTime := s.times[q] + (s.share(x, replicasX+1)-s.share(y, replicasY))/s.speeds[q]
-	if maxTime >= limit {
-		return noChange
-	}
-	for _, r := range s.holders[x] {
-		delta := deltaX
-		if slices.Contains(s.holders[y], r) {
-			delta += deltaY
-		}
-		maxTime = max(maxTime, s.times[r]+delta/s.speeds[r])
-	}
-	for _, r := range s.holders[y] {
-		if maxTime >= limit {
-			return noChange
-		}
-		if r != q && !slices.Contains(s.holders[x], r) {
-			maxTime = max(maxTime, s.times[r]+deltaY/s.speeds[r])
-		}
-	}
-	return change{slot: other, expert: x, slot2: -1, maxTime: maxTime}
-}
-
-// swapChange returns the change that swaps the experts in two slots, or noChange
-// if the swap is not allowed.
-func (s *search) swapChange(slot, other int) change {
-	x, y := s.held[slot], s.held[other]
-	p, q := slot/s.slots, other/s.slots
-	if !s.allows(q, y, x) || !s.allows(p, x, y) || x == y || p == q || slices.Contains(s.holders[x], q) || slices.Contains(s.holders[y], p) {
-		return noChange
-	}
-	delta := s.share(x, len(s.holders[x])) - s.share(y, len(s.holders[y]))
-	return change{slot: slot, expert: y, slot2: other, expert2: x, maxTime: max(s.times[p]-delta/s.speeds[p], s.times[q]+delta/s.speeds[q])}
-}
-
 // apply makes the change.
 func (s *search) apply(c change) {
-	touched := []int{s.held[c.slot], c.expert}
+	touched := [2]int{s.held[c.slot], c.expert}
 	s.place(c.slot, c.expert)
 	if c.slot2 >= 0 {
 		s.place(c.slot2, c.expert2)
@@ -238,6 +188,7 @@
 	if c.slot2 >= 0 {
 		s.updateTime(c.slot2 / s.slots)
 	}
+	s.budget.setPrices(s.prices, s.newCounts, s.balanced)
 }
 
 // place puts the expert into the slot. It does not update times. If the rank holds
@@ -246,30 +197,45 @@
 	old, r := s.held[slot], slot/s.slots
 	s.newCounts[r] += s.newCount(r, expert) - s.newCount(r, old)
 	s.holders[old] = slices.DeleteFunc(s.holders[old], func(h int) bool { return h == r })
+	s.holds[r*len(s.load)+old] = false
 	s.held[slot] = expert
 	s.holders[expert] = append(s.holders[expert], r)
+	s.holds[r*len(s.load)+expert] = true
+	s.updateShare(old)
+	s.updateShare(expert)
+}
+
+// updateShare recomputes the load of each replica of an expert.
+func (s *search) updateShare(expert int) {
+	s.shares[expert] = s.load[expert] / float64(len(s.holders[expert]))
 }
 
-// updateTime recomputes the time of a rank.
+// updateTime recomputes the time of a rank, and the bounds of its shares.
 func (s *search) updateTime(rank int) {
-	time := 0.0
+	time, least, most := 0.0, math.Inf(1), 0.0
 	for _, e := range s.held[rank*s.slots : (rank+1)*s.slots] {
-		time += s.share(e, len(s.holders[e]))
+		share := s.shares[e]
+		time += share
+		least, most = min(least, share), max(most, share)
 	}
-	s.times[rank] = time / s.speeds[rank]
+	s.times[rank], s.minShares[rank], s.maxShares[rank] = time/s.speeds[rank], least, most
 }
 
+// isHolder reports whether the rank is among the holders of the expert.
+func (s *search) isHolder(rank, expert int) bool { return s.holds[rank*len(s.load)+expert] }
+
 // newCount returns 1 if the rank did not hold the expert at the start, else 0. It
 // returns 0 for unused slots.
 func (s *search) newCount(rank, expert int) int {
-	if s.initial[rank][expert] || expert == len(s.load)-1 {
+	if s.initial[rank*len(s.load)+expert] || expert == len(s.load)-1 {
 		return 0
 	}
 	return 1
 }
 
 // allows reports whether replacing the old expert of a rank keeps the rank within
-// maxNewPerRank.
+// maxNewPerRank and the budget.
 func (s *search) allows(rank, old, expert int) bool {
-	return s.newCounts[rank]+s.newCount(rank, expert)-s.newCount(rank, old) <= s.maxNewPerRank
+	added := s.newCount(rank, expert) - s.newCount(rank, old)
+	return added <= 0 || s.newCounts[rank]+added <= s.maxNewPerRank && !math.IsInf(s.prices[rank], 1)
 }
