steward/lead: Plan all layer sets together

The leader planned each layer set alone, so that a switch waited for the rank that got by chance the most experts to copy over all sets. It now uses expert.PlanAll. The plan event has copies and fullest, the copies in all and of the fullest rank, in place of moved, which was the same number as copies.

TestPlanEvent fails without the change: the event has no copies. go test -race ./lead passes.

--- a/steward/lead/lead.go
+++ b/steward/lead/lead.go
@@ -12,7 +12,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -247,19 +246,19 @@
 	if len(before) != shape.Layers {
 		return
 	}
-	next, worstSkew, moved := slices.Clone(before), 0.0, 0
-	for set, d := range l.demand.demands {
-		layer := expert.FromRanks(before[set], shape.MaxExpertsPerRank, shape.Experts)
-		after, skew := expert.Plan(layer, d, speeds, expert.Bounds{Trigger: skewTrigger, Target: skewTarget, MaxNewPerRank: shape.MaxNewExperts})
-		worstSkew = max(worstSkew, skew)
-		next[set] = after.ExpertsByRank(shape.Experts)
-		moved += after.Moved(layer)
+	layers, next := make([]expert.Layer, len(before)), make(switching.Map, len(before))
+	for set := range layers {
+		layers[set] = expert.FromRanks(before[set], shape.MaxExpertsPerRank, shape.Experts)
 	}
-	l.meter.Gauge("skew", worstSkew)
-	if moved == 0 {
+	planned := expert.PlanAll(layers, l.demand.demands, speeds, expert.Bounds{Trigger: skewTrigger, Target: skewTarget, MaxNewPerRank: shape.MaxNewExperts})
+	l.meter.Gauge("skew", planned.Skew)
+	if planned.Moved == 0 {
 		return
 	}
-	l.journal.Event("plan", "group", l.group, "skew", worstSkew, "moved", moved, "map", statuses[0].Map, "step", statuses[0].Step)
+	for set, layer := range planned.Layers {
+		next[set] = layer.ExpertsByRank(shape.Experts)
+	}
+	l.journal.Event("plan", "group", l.group, "skew", planned.Skew, "copies", planned.Moved, "fullest", planned.MaxNew, "map", statuses[0].Map, "step", statuses[0].Step)
 	l.coordinator = l.coordinator.WithSwitch(before, next, rand.Uint64N(1<<versionOffsetBits), statuses)
 	l.planned.skew = l.worstSkew(next, speeds, shape)
 	l.advance(ctx, statuses)
