core/switching: resolve no pass that only an old status shows as held

It had been found by a review, which saw no way for a steward to meet it.

Cause: an idle leader took such a status of the holder, from before its own release, for a pass that another leader had left, and undid a switch for which ranks were armed.

Change: directly observed statuses are marked (Status.Lagging). An idle coordinator resolves a held pass only by a present status of the holder, or if lagging ones show the same pass for over a second.

--- a/core/switching/coordinator.go
+++ b/core/switching/coordinator.go
@@ -70,6 +70,7 @@
 	accepted      map[int]bool // ranks that accepted the Prepare of the phase; never written after construction
 	withoutLeader bool         // the leader's rank can't be reached
 	refused       bool         // a rank refused an order that the phase needs
+	doubtful      heldSince    // pass that lagging statuses show as held in the phase Idle
 }
 
 // NewCoordinator returns the leader's coordinator of a group of that size, in that
@@ -77,6 +78,9 @@
 // resolves that first.
 func NewCoordinator(epoch uint64, size int, current Map, statuses Statuses) Coordinator {
 	c := Coordinator{Phase: Idle, Epoch: epoch, Size: size, Current: current, Ahead: minAhead, highest: statuses.highestVersion()}
+	if statuses[Holder(size)].Lagging {
+		return c // WithStatuses resolves the pass once it is certain that it is held
+	}
 	return c.resolve(statuses)
 }
 
@@ -89,25 +93,6 @@
 	return c.resolve(statuses)
 }
 
-// resolve takes over a pass that is held although no switch is in progress. Either
-// an earlier coordinator left it, or a Hold order was carried out late.
-func (c Coordinator) resolve(statuses Statuses) Coordinator {
-	held := statuses[Holder(c.Size)].Held
-	if held == 0 {
-		return c
-	}
-	c.Step = held
-	version, all := c.commonArmedVersion(statuses)
-	switch {
-	case all && c.withoutLeader:
-		return c
-	case all:
-		c.Version = version
-		return c.enter(Releasing)
-	}
-	return c.undo()
-}
-
 // ranks returns the ranks that the coordinator sends orders to, the leader's last. A
 // guardian sends none to the leader's.
 func (c Coordinator) ranks() []int {
@@ -123,18 +108,6 @@
 	return ranks
 }
 
-// commonArmedVersion returns the version that all ranks are armed with for the held
-// pass, or false if there is no such version.
-func (c Coordinator) commonArmedVersion(statuses Statuses) (uint64, bool) {
-	version := statuses[Holder(c.Size)].Armed
-	for _, rank := range c.ranks() {
-		if s := statuses[rank]; s.Armed == 0 || s.Armed != version || s.ArmedStep != c.Step {
-			return 0, false
-		}
-	}
-	return version, true
-}
-
 // WithSwitch returns the coordinator after it began to switch from the current map
 // to the next, if it is idle. The random offset raises the version, so that no late
 // order of an earlier coordinator carries the same one.
@@ -171,7 +144,7 @@
 func (c Coordinator) Next() Map { return c.next }
 
 func (c Coordinator) enter(phase Phase) Coordinator {
-	c.Phase, c.rounds, c.armed, c.accepted, c.refused = phase, 0, nil, nil, false
+	c.Phase, c.rounds, c.armed, c.accepted, c.refused, c.doubtful = phase, 0, nil, nil, false, heldSince{}
 	return c
 }
 
@@ -200,7 +173,7 @@
 	holder := statuses[Holder(c.Size)]
 	switch c.Phase {
 	case Idle:
-		return c.resolve(statuses)
+		return c.resolveCertain(statuses, now)
 	case Preparing:
 		return c.withPrepared(statuses, now)
 	case Holding:
--- a/core/switching/values.go
+++ b/core/switching/values.go
@@ -66,6 +66,7 @@
 	Armed     uint64 // Armed is the version that the rank is armed with; 0 for none.
 	ArmedStep uint64 // ArmedStep is the pass that the rank is armed for; 0 for none.
 	Held      uint64 // Held is the pass that the rank holds; 0 for none.
+	Lagging   bool   // Lagging means that the status may be up to maxLag old.
 }
 
 // Statuses holds the last status of each rank of a group, by rank.
--- a/steward/lead/hold_test.go
+++ b/steward/lead/hold_test.go
@@ -83,3 +83,14 @@
 		})
 	}
 }
+
+// TestObservedStatusLags guards against taking the status of a rank that was queried directly, which
+// is some hundred milliseconds old, for a present one.
+func TestObservedStatusLags(t *testing.T) {
+	for _, direct := range []bool{false, true} {
+		observed := map[int]Observation{1: {Status: switching.Status{Rank: 1, Epoch: 1}, Direct: direct}}
+		if got := statusesOf(observed, 1)[1].Lagging; got != direct {
+			t.Errorf("queried directly: %t, status lags: %t", direct, got)
+		}
+	}
+}
--- a/steward/lead/lead.go
+++ b/steward/lead/lead.go
@@ -212,7 +212,7 @@
 		if !holder.Direct {
 			l.coordinator = l.coordinator.WithRenewal(queried)
 		}
-		statuses[holder.Status.Rank] = holder.Status
+		statuses[holder.Status.Rank] = holder.status()
 	}
 }
 
@@ -236,7 +236,7 @@
 	statuses := switching.Statuses{}
 	for rank, o := range observed {
 		if o.Status.Epoch == epoch {
-			statuses[rank] = o.Status
+			statuses[rank] = o.status()
 		}
 	}
 	return statuses
--- a/steward/lead/port.go
+++ b/steward/lead/port.go
@@ -19,6 +19,12 @@
 	Direct bool     // Direct reports whether the rank was queried directly instead of through the steward beside it.
 }
 
+// status returns the rank's status, which lags if the rank was queried directly.
+func (o Observation) status() switching.Status {
+	o.Status.Lagging = o.Direct
+	return o.Status
+}
+
 // Ranks observes the ranks of the own group and sends them orders.
 type Ranks interface {
 	// ObserveOwn observes the own rank.
