--- a/core/switching/coordinator.go
+++ b/core/switching/coordinator.go
@@ -77,7 +77,7 @@
 // epoch and with that map in use. If an earlier coordinator left a held pass, it
 // resolves that first.
 func NewCoordinator(epoch uint64, size int, current Map, statuses Statuses) Coordinator {
-	c := Coordinator{Phase: Idle, Epoch: epoch, Size: size, Current: current, Ahead: minAhead, highest: statuses.highestVersion()}
+	c := Coordinator{Phase: Idle, Epoch: epoch, Size: size, Current: current, Ahead: defaultAhead, highest: statuses.highestVersion()}
 	if statuses[Holder(size)].Lagging {
 		return c // WithStatuses resolves the pass once it is certain that it is held
 	}
@@ -89,7 +89,7 @@
 // ranks are armed, the leader's rank may be armed too; then only the leader can
 // release the pass, and the guardian does nothing.
 func NewGuardian(epoch uint64, size int, current Map, statuses Statuses) Coordinator {
-	c := Coordinator{Phase: Idle, Epoch: epoch, Size: size, Current: current, Ahead: minAhead, highest: statuses.highestVersion(), withoutLeader: true}
+	c := Coordinator{Phase: Idle, Epoch: epoch, Size: size, Current: current, Ahead: defaultAhead, highest: statuses.highestVersion(), withoutLeader: true}
 	return c.resolve(statuses)
 }
 
--- a/core/switching/model_test.go
+++ b/core/switching/model_test.go
@@ -185,6 +185,7 @@
 	m.leader = m.leader.WithRenewal(m.now)
 	m.leader = m.round(m.leader, statuses, faulty)
 	if m.leader.Phase == Idle && noneArmedOrHolding(m.ranks) && rapid.Bool().Draw(m.t, "switch") {
+		m.leader = m.leader.WithAhead(rapid.Uint64Range(minAhead, maxAhead).Draw(m.t, "ahead"))
 		m.leader = m.leader.WithSwitch(m.emptyMap(), m.emptyMap(), rapid.Uint64Range(0, 1<<12).Draw(m.t, "draw"), statuses)
 	}
 }
