core/expert: Keep the times of ranks with unused slots valid

When a search fills an unused slot, place removes all entries of its rank from the holders of unused slots. If it was the only rank with unused slots, the share of the others became 0/0, and the rank's time was not a number.

The share of an expert without load is now 0, and the fastest rank is found as the slowest is. perturb excludes infinite times again, as the former code did.

--- a/core/expert/bounds_test.go
+++ b/core/expert/bounds_test.go
@@ -109,6 +109,27 @@
 	}
 }
 
+// TestLastUnusedSlots plans for a group in which only one rank has unused slots. After one of
+// them is filled, the search must still compare the times of all ranks: other changes are
+// left that reach the target.
+func TestLastUnusedSlots(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		lists [][]int
+	}{
+		{"first rank", [][]int{{4}, {0, 1, 5}, {2, 3, 6}}},
+		{"last rank", [][]int{{0, 1, 5}, {2, 3, 6}, {4}}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			load, speeds := []float64{9, 8, 1, 9, 6, 1, 2}, []float64{1, 1, 1}
+			layer, _ := Plan(FromRanks(tt.lists, 3, 7), Demand{Load: load, Samples: math.Inf(1)}, speeds, Bounds{Trigger: 1.1, Target: 1.1, MaxNewPerRank: 3})
+			if got := layer.Skew(load, speeds); got > 1.1*MinSkew(load, speeds, 3) {
+				t.Errorf("skew is %.3f, want at most 1.1 times %.3f; the ranks hold %v", got, MinSkew(load, speeds, 3), layer.ExpertsByRank(7))
+			}
+		})
+	}
+}
+
 // TestSlowRanks sets the speed of every fifth rank to 0.37. Three plans must move
 // enough load off these ranks to bring the skew within maxSkew times MinSkew.
 func TestSlowRanks(t *testing.T) {
--- a/core/expert/change.go
+++ b/core/expert/change.go
@@ -1,9 +1,6 @@
 package expert
 
-import (
-	"math"
-	"slices"
-)
+import "math"
 
 // change puts other experts into one or two slots.
 type change struct {
@@ -105,7 +102,7 @@
 	b := selection{change: noChange, cost: math.MaxFloat64, bound: s.times[slowest] * (1 - 1e-9)}
 	// One of the changes of the fastest rank often costs little, and then excludes most
 	// others.
-	fastest := slices.Index(s.times, slices.Min(s.times))
+	fastest := s.fastest()
 	for k := range s.slots {
 		s.sources[k] = s.source(slowest*s.slots + k)
 		s.scan(&b, &s.sources[k], fastest)
--- a/core/expert/search.go
+++ b/core/expert/search.go
@@ -150,7 +150,7 @@
 	for range 3 {
 		slot := s.slowest()*s.slots + random.IntN(s.slots)
 		other := random.IntN(len(s.held))
-		for _, c := range []change{s.swapChange(slot, other), s.replicaChange(slot, other, math.Inf(1))} {
+		for _, c := range []change{s.swapChange(slot, other), s.replicaChange(slot, other, math.MaxFloat64)} {
 			if c != noChange {
 				s.apply(c)
 				break
@@ -170,6 +170,17 @@
 	return slowest
 }
 
+// fastest returns the rank with the shortest time.
+func (s *search) fastest() int {
+	fastest := 0
+	for r := range s.times {
+		if s.times[r] < s.times[fastest] {
+			fastest = r
+		}
+	}
+	return fastest
+}
+
 // apply makes the change.
 func (s *search) apply(c change) {
 	touched := [2]int{s.held[c.slot], c.expert}
@@ -205,9 +216,13 @@
 	s.updateShare(expert)
 }
 
-// updateShare recomputes the load of each replica of an expert.
+// updateShare recomputes the load of each replica of an expert. An expert without load, such
+// as the one of unused slots, may have lost all its holders in place but still be held.
 func (s *search) updateShare(expert int) {
-	s.shares[expert] = s.load[expert] / float64(len(s.holders[expert]))
+	s.shares[expert] = 0
+	if s.load[expert] > 0 {
+		s.shares[expert] = s.load[expert] / float64(len(s.holders[expert]))
+	}
 }
 
 // updateTime recomputes the time of a rank, and the bounds of its shares.
