core/dispatch: copy no sends to see which are recent

The forecast copied the sends of each target up to three times. They are in the order of time, so the recent ones are a part of the slice, which an append copies. The share of the bound on cold targets is looked up once a forecast. Behaviour is as before; the tests of core/dispatch pass.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -332,26 +332,24 @@
 	return max(1, int(bound)), true
 }
 
-// coldUntil returns when this gateway's share of the bound on a cold target has room
-// again, or the zero time if it has room.
-func (s State) coldUntil(t roster.Target, now time.Time) time.Time {
-	share, bounded := s.coldShare(t.Service)
-	recent := recentSends(s.View(t.ID).sends, now)
-	if !bounded || len(recent) < share {
+// coldUntil returns when a target that gets at most share requests within coldWindow may
+// get the next one, or the zero time if it may now.
+func (v View) coldUntil(share int, now time.Time) time.Time {
+	recent := recentSends(v.sends, now)
+	if len(recent) < share {
 		return time.Time{}
 	}
 	return recent[len(recent)-share].Add(coldWindow)
 }
 
-// recentSends returns a copy of the sends within coldWindow, with capacity for one more.
+// recentSends returns the sends within coldWindow, of sends in order of time. Appending to
+// them makes a copy.
 func recentSends(sends []time.Time, now time.Time) []time.Time {
-	recent := make([]time.Time, 0, len(sends)+1)
-	for _, at := range sends {
-		if now.Sub(at) <= coldWindow {
-			recent = append(recent, at)
-		}
+	first := len(sends)
+	for first > 0 && now.Sub(sends[first-1]) <= coldWindow {
+		first--
 	}
-	return recent
+	return slices.Clip(sends[first:])
 }
 
 // WithAttempt returns the state after an attempt at a target ended. Several
--- a/core/dispatch/forecast.go
+++ b/core/dispatch/forecast.go
@@ -122,11 +122,17 @@
 	f := forecast{remedy: "no target of the service has room for the request now"}
 	departing, gateways := s.departing(serving), float64(s.peers.count()+1)
 	holding := s.holdingTime(service, serving, now)
+	share, bounded := s.coldShare(service)
 	opens := make([]opening, 0, len(serving))
 	for _, t := range serving {
-		if !departing[t.ID] {
-			opens = append(opens, s.opening(t, now))
+		if departing[t.ID] {
+			continue
 		}
+		o := s.opening(t, now)
+		if bounded {
+			o.coldAt = s.View(t.ID).coldUntil(share, now)
+		}
+		opens = append(opens, o)
 	}
 	if len(opens) == 0 {
 		outage, _ := s.idle.Get(service)
@@ -136,7 +142,6 @@
 	if f.opensAt = first.next(); first.remedy != "" {
 		f.remedy = first.remedy
 	}
-	share, bounded := s.coldShare(service)
 	if !bounded {
 		f.coldRate = math.Inf(1)
 	}
@@ -144,7 +149,7 @@
 		load, own := s.loadOf(t, now), s.View(t.ID).InFlight
 		room := float64(max(0, maxLoad(t)-load)) / gateways
 		if bounded && !opens[i].at.After(f.opensAt) {
-			f.coldPlaces += float64(max(0, s.coldRoom(t, f.opensAt)))
+			f.coldPlaces += float64(max(0, share-len(recentSends(s.View(t.ID).sends, f.opensAt))))
 			f.coldRate += float64(share) / coldWindow.Seconds()
 		}
 		switch limit := s.statement(t).limit; {
@@ -169,9 +174,9 @@
 
 // opening is when a target takes requests again.
 type opening struct {
-	at     time.Time // now for a target that is only full, or got this gateway's share of the bound on cold targets
-	remedy string    // says why it takes none until then; empty if at is now
-	coldAt time.Time // when that share has room again; zero if it has
+	at     time.Time // now for a target that is only full
+	remedy string    // says why it takes none until then; empty for one that is only full
+	coldAt time.Time // when this gateway's share of the bound on cold targets has room; zero if it has now or there is no bound
 }
 
 // next returns when the target can take the next request.
@@ -183,8 +188,7 @@
 }
 
 // opening returns when a target takes requests again, as far as that is known. That of a
-// target that is only full, or got this gateway's share of the bound on cold targets, is now:
-// its places are freed one by one.
+// target that is only full is now: its places are freed one by one. coldAt is not set.
 func (s State) opening(t roster.Target, now time.Time) opening {
 	view, latest := s.View(t.ID), opening{at: now}
 	pausedUntil := s.pausedUntil(t, now)
@@ -206,7 +210,6 @@
 			latest = o
 		}
 	}
-	latest.coldAt = s.coldUntil(t, now)
 	return latest
 }
 
