--- a/core/switching/timing.go
+++ b/core/switching/timing.go
@@ -8,11 +8,11 @@
 
 const (
 	minAhead       = 1
-	defaultAhead   = 2 // while the time of passes isn't known; a Hold order takes about a tenth of a pass
-	maxAhead       = 5 // keeps a pass from being held for longer than GuardianDelay if passes are short
-	minStepSpan    = 200 * time.Millisecond
-	maxStepAge     = 2 * time.Second // an older observation says nothing about the present passes
-	toleranceShare = 4               // a held pass may be expected to begin late by 1/toleranceShare of a pass
+	defaultAhead   = 2                      // while the time of passes isn't known; a Hold order takes about a tenth of a pass
+	maxAhead       = 5                      // keeps a pass from being held for longer than GuardianDelay if passes are short
+	minStepSpan    = 200 * time.Millisecond // in less time hardly more than one pass begins
+	maxStepAge     = 2 * time.Second        // an older observation says nothing about the present passes
+	toleranceShare = 4                      // a held pass may be expected to begin late by 1/toleranceShare of a pass
 
 	// unknownArming is how long arming takes as long as no switch was observed: some ten messages in a row
 	// between stewards that have a fraction of a processor.
