--- a/core/expert/shift.go
+++ b/core/expert/shift.go
@@ -8,13 +8,11 @@
 	// shifts that it is for are of 0.3 and more.
 	shiftDistance = 0.12
 	// shiftErrors is the number of standard errors that the distance must be above
-	// the noise in addition. At 4, there was no false alarm in the 10,000 windows of
-	// TestDetector.
+	// the noise in addition, so that hours of unchanged demand raise no alarm.
 	shiftErrors = 4.0
 	// minCountsPerLayer is the mean number of counts of a layer from which on
-	// Detector judges them; it collects fewer. In a trial with 12 layers of 144
-	// experts, 96% or more of the shifts of half the experts were noticed in 40 counts
-	// per layer, and 27% or less in 20.
+	// Detector judges them; it collects fewer. In half as many, the noise hides most
+	// shifts.
 	minCountsPerLayer = 40
 	// excessWeight is the weight of the latest distance in the usual excess of the
 	// distances over the noise. A shift raises that by little, for a second.
