--- a/steward/lead/demand.go
+++ b/steward/lead/demand.go
@@ -19,8 +19,7 @@
 	// one after a shift is used alone: those of shiftInterval at half the usual load.
 	// It goes on until the own rank has that many, for at most measureInterval. At a
 	// shift, passes may take longer than shiftInterval.
-	// In trials with 32 ranks whose passes take 80 to 250 ms, 0.5 was worse: it is
-	// more than one pass.
+	// Half of the counts of a usual measurement would take more than one of these.
 	minShiftShare = 0.2
 )
 
