review/9: cut the path to the server in place of freezing the gateway

One disruption in place of two: srv_cut (some, reborn). One server of five loses the path to two gateways of seven for 2 s, and crashes and starts again meanwhile.

--- a/review/stand-2/gateway.go
+++ b/review/stand-2/gateway.go
@@ -50,6 +50,7 @@
 type Gateway struct {
 	*Process
 	Front string
+	ip    string
 	ready string
 }
 
@@ -81,7 +82,7 @@
 		if err != nil {
 			return nil, err
 		}
-		list = append(list, &Gateway{Process: p, Front: fields["listen.front"].(string), ready: fields["listen.ready"].(string)})
+		list = append(list, &Gateway{Process: p, Front: fields["listen.front"].(string), ip: fields["ip"].(string), ready: fields["listen.ready"].(string)})
 	}
 	for _, g := range list {
 		if !Until(15*time.Second, g.IsReady) {
--- a/review/stand-2/restart.go
+++ b/review/stand-2/restart.go
@@ -4,22 +4,23 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"syscall"
 	"time"
 )
 
 const (
 	restartRounds   = 5
 	restartGateways = 7
+	restartServers  = 5
 	restartAnswer   = 2000 // bytes of a whole answer
 	restartWork     = 800 * time.Millisecond
-	restartFreeze   = 2 * time.Second // of a gateway
-	restartCrashAt  = 500 * time.Millisecond
-	restartDown     = time.Second // until the server that crashed is back
+	restartCut      = 2 * time.Second        // of the path between a server and two gateways
+	restartCrashAt  = 500 * time.Millisecond // after the request came
+	restartDown     = time.Second            // until the server that crashed is back
 	restartDeadline = 3 * time.Second
 )
 
-// caseRestart freezes a gateway while a server that it reads an answer of crashes and starts again.
+// caseRestart cuts the path between a server and some gateways. The server crashes behind the cut
+// and starts again.
 func caseRestart(w *World) (int, error) {
 	store, err := NewStore(w.IP())
 	if err != nil {
@@ -34,12 +35,16 @@
 			s.kill()
 		}
 	}()
-	for i := range 3 {
+	for i := range restartServers {
 		address, err := Free(w.IP())
 		if err != nil {
 			return 0, err
 		}
-		s := &serverProcess{world: w, id: fmt.Sprintf("i-%04x", 0x7f3a+i), address: address, runs: make(chan string, 100)}
+		path, err := NewProxy(w.IP(), address)
+		if err != nil {
+			return 0, err
+		}
+		s := &serverProcess{world: w, id: fmt.Sprintf("i-%04x", 0x7f3a+i), address: address, path: path, runs: make(chan string, 100)}
 		if err := s.start(store); err != nil {
 			return 0, err
 		}
@@ -56,28 +61,23 @@
 		answers := make(chan Answer, 1)
 		w.Log("client sends %s to %s", r.ID, g.name)
 		go func() { answers <- Send(g.Front, r) }()
-		var s *serverProcess
-		select {
-		case <-servers[0].runs:
-			s = servers[0]
-		case <-servers[1].runs:
-			s = servers[1]
-		case <-servers[2].runs:
-			s = servers[2]
-		case <-time.After(2 * time.Second):
+		s, found := running(servers)
+		if !found {
 			return 0, fmt.Errorf("no server got the request")
 		}
 		if w.Trouble {
 			time.Sleep(100 * time.Millisecond)
-			g.Signal(syscall.SIGSTOP)
+			w.Log("the path between server %s and %s and another gateway is cut", s.id, g.name)
+			s.path.Cut(g.ip, gateways[(round+1)%len(gateways)].ip)
 			time.Sleep(restartCrashAt - 100*time.Millisecond)
 			s.kill()
 			time.Sleep(restartDown)
 			if err := s.start(store); err != nil {
 				return 0, err
 			}
-			time.Sleep(restartFreeze - restartDown - restartCrashAt + 100*time.Millisecond)
-			g.Signal(syscall.SIGCONT)
+			time.Sleep(restartCut - restartDown - restartCrashAt + 100*time.Millisecond)
+			w.Log("the path is whole again")
+			s.path.Cut()
 		}
 		a := <-answers
 		switch success := a.Complete && a.Status == http.StatusOK; {
--- a/review/stand-2/server.go
+++ b/review/stand-2/server.go
@@ -78,6 +78,7 @@
 	world   *World
 	id      string
 	address string
+	path    *Proxy // from the gateways, or nil for none
 	cmd     *exec.Cmd
 	born    int64       // start of its process in Unix milliseconds
 	runs    chan string // requests that it began to run
@@ -110,11 +111,36 @@
 		}
 	}()
 	s.born = time.Now().UnixMilli()
-	store.Put("servers/"+s.id, entry(s.address, 6, s.born))
+	store.Put("servers/"+s.id, s.entry())
 	s.world.Log("server %s listens on %s", s.id, s.address)
 	return nil
 }
 
+// entry returns the server's entry in the store.
+func (s *serverProcess) entry() map[string]any {
+	address := s.address
+	if s.path != nil {
+		address = s.path.Address
+	}
+	return entry(address, 6, s.born)
+}
+
+// running returns the server that has begun to run a request.
+func running(servers []*serverProcess) (found *serverProcess, ok bool) {
+	ok = Until(2*time.Second, func() bool {
+		for _, s := range servers {
+			select {
+			case <-s.runs:
+				found = s
+				return true
+			default:
+			}
+		}
+		return false
+	})
+	return found, ok
+}
+
 // kill ends the server's process at once.
 func (s *serverProcess) kill() {
 	if s.cmd.ProcessState != nil {
--- a/review/stand-2/spot.go
+++ b/review/stand-2/spot.go
@@ -55,25 +55,14 @@
 		answers := make(chan Answer, 1)
 		w.Log("client sends %s to %s", r.ID, g.name)
 		go func() { answers <- Send(g.Front, r) }()
-		var s *serverProcess
-		begun := Until(2*time.Second, func() bool {
-			for _, candidate := range servers {
-				select {
-				case <-candidate.runs:
-					s = candidate
-					return true
-				default:
-				}
-			}
-			return false
-		})
-		if !begun {
+		s, found := running(servers)
+		if !found {
 			return 0, fmt.Errorf("no server got the request")
 		}
 		if w.Trouble {
 			time.Sleep(spotNotice)
 			w.Log("server %s is told that it will be gone in %s, and reports draining", s.id, spotGone)
-			leaving := entry(s.address, 6, s.born)
+			leaving := s.entry()
 			leaving["state"] = "draining"
 			store.Put("servers/"+s.id, leaving)
 			time.Sleep(spotGone)
