adapter/upstream: take only HTTP/1 heads with a valid status for responses

What callers saw: on an agent's site, an answer with status 000, 101 or 600 of a faulty target as an answer. From a gateway, 600 and 999 with the target's signature, an answer of another version of HTTP, and the answer that followed a head with status 000 or 101. A lone answer with status 000 was refused by a gateway, but by accident: it was skipped like an interim response, and its body was then read as a head. A steward took status 000 to an order for a refusal of the order.

Cause: net/http accepts any three characters that make a number of at least 0 as the status, any version and any number of blanks before it, and each reader trusted it.

Change: upstream.HeadScanner checks the status line as its bytes arrive: HTTP/1.x, one blank, a status from 100 to 599, and a reason without control bytes. 101 is none, since no request asks for another protocol. It also counts the lines, in place of the scanner of package pool. The connections of package pool scan each head that they read; clients of net/http (agent, probe, steward, store, platform) get an upstream.Transport, whose connections scan what follows a request and fail at the first byte that can't belong to a head. An entry instance doesn't pass on a head without a final status, which an agent of an earlier release may send. A reader learns only that there was no answer, as after a cut: the request may have run, and the connection isn't used again.

TestHeadScanner moves from package pool.

--- a/adapter/pool/pool.go
+++ b/adapter/pool/pool.go
@@ -224,7 +224,8 @@
 // UnlimitReads removes the limits.
 func (c *Conn) UnlimitReads() { c.limited.unlimit() }
 
-// ReadResponse reads the head of a response, whose body Reader then returns.
+// ReadResponse reads the head of a response, whose body Reader then returns. Its error wraps
+// upstream.ErrMalformed if the bytes are not a response.
 func (c *Conn) ReadResponse(request *http.Request) (*http.Response, error) {
 	buffered, _ := c.reader.Peek(c.reader.Buffered()) // can't fail, as it reads nothing
 	if err := c.limited.beginHead(buffered); err != nil {
--- /dev/null
+++ b/adapter/upstream/transport_test.go
@@ -0,0 +1,136 @@
+package upstream_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"hornbeamtray/adapter/upstream"
+)
+
+// startServer starts a server that sends a whole response to the first request on each of its
+// connections if kept is set, and text to the next. It returns its URL, and counters of its requests and
+// connections.
+func startServer(t *testing.T, kept bool, text string) (url string, requests, conns *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	requests, conns = &atomic.Int64{}, &atomic.Int64{}
+	go func() {
+		for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
+			t.Cleanup(func() { conn.Close() })
+			conns.Add(1)
+			go func() {
+				reader := bufio.NewReader(conn)
+				for whole := kept; ; whole = false {
+					if _, err := http.ReadRequest(reader); err != nil {
+						return
+					}
+					requests.Add(1)
+					answer := text
+					if whole {
+						answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+					}
+					_, _ = io.WriteString(conn, answer)
+				}
+			}()
+		}
+	}()
+	return "http://" + listener.Addr().String(), requests, conns
+}
+
+// TestMalformedResponses guards against bytes that net/http takes for a response though they are
+// none, against a request that net/http then sends again, and against another one on the connection.
+func TestMalformedResponses(t *testing.T) {
+	const length = "Content-Length: 5\r\n\r\nhello"
+	tests := []struct{ name, text string }{
+		{"no protocol", "hello\r\n\r\n"},
+		{"status 000", "HTTP/1.1 000 x\r\n" + length},
+		{"status 600", "HTTP/1.1 600 x\r\n" + length},
+		{"a later version", "HTTP/2.0 200 OK\r\n" + length},
+		{"status 000 after interim responses", "HTTP/1.1 103 x\r\nA: b\r\n\r\nHTTP/1.1 102 x\r\n\r\nHTTP/1.1 000 x\r\n" + length},
+	}
+	for _, tt := range tests {
+		for _, kept := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, kept: %t", tt.name, kept), func(t *testing.T) {
+				url, requests, conns := startServer(t, kept, tt.text)
+				transport := upstream.NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext})
+				defer transport.CloseIdleConnections()
+				client := &http.Client{Transport: transport, Timeout: 5 * time.Second}
+				sent := int64(1)
+				if kept {
+					sent++
+					if text, err := get(client, url); text != "hello" || err != nil {
+						t.Fatalf("the first response is %q, %v", text, err)
+					}
+				}
+				if text, err := get(client, url); !errors.Is(err, upstream.ErrMalformed) {
+					t.Errorf("the response is %q, %v; want ErrMalformed", text, err)
+				}
+				if requests.Load() != sent || conns.Load() != 1 {
+					t.Errorf("the server received %d requests on %d connections, want %d on 1", requests.Load(), conns.Load(), sent)
+				}
+				_, _ = get(client, url)
+				if conns.Load() != 2 {
+					t.Errorf("the next request came on connection %d, want another", conns.Load())
+				}
+			})
+		}
+	}
+}
+
+// TestResponsesOnOneConnection guards against bytes of a body that are taken for a head.
+func TestResponsesOnOneConnection(t *testing.T) {
+	const interim = "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
+	tests := []struct{ name, text, body string }{
+		{"a length", "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n\r\n000\r\n", "\r\n000\r\n"},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n\nx y:\r\n0\r\n\r\n", "\nx y:"},
+		{"interim responses", interim + interim + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n\n\n", "\n\n"},
+		{"no body", "HTTP/1.1 204 No Content\r\n\r\n", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			url, _, conns := startServer(t, false, tt.text)
+			transport := upstream.NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext})
+			defer transport.CloseIdleConnections()
+			for range 3 {
+				if text, err := get(&http.Client{Transport: transport}, url); text != tt.body || err != nil {
+					t.Errorf("the response is %q, %v; want %q", text, err, tt.body)
+				}
+			}
+			if conns.Load() != 1 {
+				t.Errorf("three requests took %d connections, want 1", conns.Load())
+			}
+		})
+	}
+}
+
+// TestOtherScheme guards against a redirect to a connection whose responses can't be checked.
+func TestOtherScheme(t *testing.T) {
+	url, requests, conns := startServer(t, false, "HTTP/1.1 302 Found\r\nLocation: https://127.0.0.1:1/\r\nContent-Length: 0\r\n\r\n")
+	transport := upstream.NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext})
+	defer transport.CloseIdleConnections()
+	if text, err := get(&http.Client{Transport: transport}, url); err == nil || requests.Load() != 1 || conns.Load() != 1 {
+		t.Errorf("the response is %q after %d requests on %d connections, want an error after one", text, requests.Load(), conns.Load())
+	}
+}
+
+// get returns the body of a response.
+func get(client *http.Client, url string) (string, error) {
+	response, err := client.Get(url)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return string(text), err
+}
--- a/agent/engine/broken_test.go
+++ b/agent/engine/broken_test.go
@@ -63,6 +63,9 @@
 			_ = conn.SetLinger(0)
 		}
 	}
+	text := func(text string) func(*net.TCPConn) {
+		return func(conn *net.TCPConn) { _, _ = io.WriteString(conn, text) }
+	}
 	tests := []struct {
 		name   string
 		answer func(*net.TCPConn)
@@ -70,6 +73,11 @@
 	}{
 		{"reset while a long request is written", reset("HTTP/1.1 200 OK\r\n\r\nhello"), 4 << 20},
 		{"reset", reset("HTTP/1.1 200 OK\r\n\r\nhello"), 0},
+		{"status 000", text("HTTP/1.1 000 x\r\nContent-Length: 5\r\n\r\nhello"), 0},
+		{"status 101", text("HTTP/1.1 101 x\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nhello"), 0},
+		{"status 600", text("HTTP/1.1 600 x\r\nContent-Length: 5\r\n\r\nhello"), 0},
+		{"a later version", text("HTTP/2.0 200 OK\r\nContent-Length: 5\r\n\r\nhello"), 0},
+		{"status 000 after an interim response", text("HTTP/1.1 103 x\r\n\r\nHTTP/1.1 000 x\r\nContent-Length: 5\r\n\r\nhello"), 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/entry/agents/agents.go
+++ b/entry/agents/agents.go
@@ -10,6 +10,7 @@
 
 	"github.com/gravitational/trace"
 
+	"hornbeamtray/adapter/upstream"
 	"hornbeamtray/adapter/wire"
 	"hornbeamtray/core/entry"
 	"hornbeamtray/core/ledger"
@@ -97,13 +98,16 @@
 	reusable bool // the agent has ended the stream, so the connection can be used again
 }
 
-// Next waits for the next part and returns it.
+// Next waits for the next part and returns it. A head that no answer has is an error.
 func (s *stream) Next() (serve.Part, error) {
 	piece, err := s.pieces.Recv()
 	if err != nil {
 		return serve.Part{}, trace.ConnectionProblem(err, "the connection to the agent failed")
 	}
 	part := toPart(piece)
+	if part.Head != nil && !upstream.IsFinal(part.Head.Status) {
+		return serve.Part{}, trace.BadParameter("the agent passed on an answer with status %d", part.Head.Status)
+	}
 	if part.End != nil || part.Refusal != nil {
 		_, err := s.pieces.Recv()
 		s.reusable = errors.Is(err, io.EOF)
