adapter/upstream: don't take a head with a malformed field for that of a response

What callers saw: an answer of a faulty target in whose head the name of a field held a blank. Where that field was the length or the encoding, the body was not the target's: bytes that followed it, or its chunks with their sizes. Where a line began with a blank, it became a part of the field before: a caller got "broken X-Other: y" as the signature. Stewards took such bytes for accepted orders, stores' clients for listings without an era or for a lost history, and the followers of peers for configurations.

Cause: net/http accepts blanks in the names of fields, under which nobody finds them, and joins a line that begins with a blank to the one before.

Change: upstream.HeadScanner checks the fields, too: a name of token characters directly before a colon, a value without control bytes, and no line that begins with a blank. So all readers have the rule. RFC 9112, 5.2, has a gateway answer 502 to a folded field, or unfold it; unfolding is what hides a length here.

--- a/adapter/upstream/head.go
+++ b/adapter/upstream/head.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // ErrMalformed is wrapped by the errors of reading bytes that are not an HTTP response.
@@ -21,12 +22,15 @@
 const (
 	statusLine headPart = iota
 	lineStart           // the begin of a line after the status line
-	fieldLine
+	fieldName
+	fieldValue
 	headEnd
 )
 
 // HeadScanner checks the head of a response as its bytes arrive, however they are split.
-// net/http accepts heads that are no responses, such as those with status 000.
+// net/http accepts heads that are no responses, such as those with status 000, and others whose
+// fields or length it does not see: it ignores a field whose name ends with a blank, and takes
+// one that begins with a blank for a part of the field before.
 // The zero value is at the begin of a head.
 type HeadScanner struct {
 	part   headPart
@@ -73,8 +77,17 @@
 		return nil
 	case h.part == statusLine:
 		return h.nextOfStatusLine(b)
+	case h.part == fieldValue && isControl(b):
+		return malformed("a control byte in a field")
+	case h.part == fieldValue:
+		return nil
+	case h.part == fieldName && b == ':':
+		h.part = fieldValue
+		return nil
+	case !isToken(b):
+		return malformed(fmt.Sprintf("byte %#02x in the name of a field", b))
 	}
-	h.part = fieldLine
+	h.part = fieldName
 	return nil
 }
 
@@ -106,6 +119,8 @@
 	switch {
 	case h.part == statusLine && h.column < reasonColumn:
 		return malformed("no status")
+	case h.part == fieldName:
+		return malformed("a line that is no field")
 	case h.part == lineStart:
 		h.part = headEnd
 		return nil
@@ -129,5 +144,11 @@
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
 
+// isToken reports whether b may be a part of the name of a field.
+func isToken(b byte) bool {
+	letter := b | 0x20 // in lower case
+	return isDigit(b) || letter >= 'a' && letter <= 'z' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
+
 // isControl reports whether b is a control byte other than a tab.
 func isControl(b byte) bool { return b < ' ' && b != '\t' || b == 0x7f }
