adapter/upstream: keep an early response when the rest of its request can't be written

What callers saw: a sound target answered a long call before it had read all of it, closed its side of the connection and soon after the whole. If the caller read slowly, the agent lost what it had not read yet: "the connection to the target failed during the answer", with 4 of 24 kB.

Cause: net/http closes a connection as soon as a write fails, although the response, or its rest, is in the kernel's buffer. Gateways don't use net/http for this, and kept such answers.

Change: the connections of upstream.Transport report the failure of a write only once reads have ended or the connection is closed. A connection whose write failed has an end for reads, too.

Evidence: TestEarlyAnswers failed before in its two cases that read slowly, and passes in three of three runs with the race detector.

--- a/adapter/upstream/transport.go
+++ b/adapter/upstream/transport.go
@@ -24,7 +24,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &scannedConn{Conn: NewConn(conn)}, nil
+		return newScannedConn(conn), nil
 	}
 	return &Transport{base: base}
 }
@@ -61,11 +61,18 @@
 type scannedConn struct {
 	*Conn
 
+	readsEnded chan struct{} // closed when a read has failed or the connection is closed
+	endReads   sync.Once     // closes readsEnded
+
 	mu      sync.Mutex
 	head    HeadScanner // guarded by mu
 	failure error       // guarded by mu; what is wrong with the head, or nil
 }
 
+func newScannedConn(conn net.Conn) *scannedConn {
+	return &scannedConn{Conn: NewConn(conn), readsEnded: make(chan struct{})}
+}
+
 // expectHead makes the connection expect the head of another response.
 func (c *scannedConn) expectHead() {
 	c.mu.Lock()
@@ -86,11 +93,30 @@
 func (c *scannedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if valid, malformed := c.scan(p[:n]); malformed != nil {
-		return max(1, valid), malformed
+		n, err = max(1, valid), malformed
+	}
+	if err != nil {
+		c.endReads.Do(func() { close(c.readsEnded) })
+	}
+	return n, err
+}
+
+// Write implements net.Conn. It reports a failure only when reads have ended, too. net/http closes a
+// connection whose write failed, and would lose a response that arrived before the failure.
+func (c *scannedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		<-c.readsEnded
 	}
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *scannedConn) Close() error {
+	c.endReads.Do(func() { close(c.readsEnded) })
+	return c.Conn.Close()
+}
+
 // scan checks the heads in p, of the final response and of the interim ones before it. With an
 // error, it returns how many bytes are valid.
 func (c *scannedConn) scan(p []byte) (int, error) {
