--- a/agent/engine/broken_test.go
+++ b/agent/engine/broken_test.go
@@ -8,12 +8,15 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"hornbeamtray/agent/answer"
 	"hornbeamtray/agent/engine"
 	"hornbeamtray/agent/serve"
+	"hornbeamtray/core/order"
 )
 
 // startTarget starts a target that reads the head of each request and passes its connection to
@@ -96,3 +99,79 @@
 		})
 	}
 }
+
+// probeRecorder is an engine.Observer that records what a probe reports.
+type probeRecorder struct {
+	reached   chan bool
+	restarted chan string
+}
+
+func (p probeRecorder) Reached(reached bool)     { p.reached <- reached }
+func (p probeRecorder) Restarted(cause string)   { p.restarted <- cause }
+func (p probeRecorder) Loaded(string, time.Time) {}
+
+// TestBrokenAnswersToProbes guards against an answer that broke off and is taken for that of
+// another process: the limit of the target would fall to that of a cold one.
+func TestBrokenAnswersToProbes(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n" + `{"boot":"a"}`
+	tests := []struct {
+		name, text string
+		reached    bool
+	}{
+		{"whole", whole, true},
+		{"of a target that reports nothing", "HTTP/1.1 404 Not Found\r\nContent-Length: 9\r\n\r\nnot found", true},
+		{"without a body", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true},
+		{"of another type", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n[{}]", true},
+		{"too long", "HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n" + `{"boot":"` + strings.Repeat("a", 99999-11) + `"}`, true},
+		{"closed within a body with a length", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 12\r\n\r\n" + `{"bo`, false},
+		{"closed before a body with a length", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 12\r\n\r\n", false},
+		{"closed within a body in chunks", "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n{\"bo", false},
+		{"status 000", "HTTP/1.1 000 x\r\nContent-Length: 12\r\n\r\n" + `{"boot":"a"}`, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var requests atomic.Int64
+			url := startTarget(t, func(conn *net.TCPConn) {
+				text := tt.text
+				if requests.Add(1) == 1 {
+					text = strings.Replace(whole, "\r\n", "\r\nConnection: close\r\n", 1)
+				}
+				_, _ = io.WriteString(conn, text)
+			})
+			recorder := probeRecorder{reached: make(chan bool, 9), restarted: make(chan string, 9)}
+			probe := engine.NewProbe(url, recorder)
+			defer probe.Close()
+			if !<-recorder.reached {
+				t.Fatal("the first probe did not reach the target")
+			}
+			if got := <-recorder.reached; got != tt.reached {
+				t.Errorf("reached is %t, want %t", got, tt.reached)
+			}
+			if !tt.reached && len(recorder.restarted) > 0 {
+				t.Errorf("a broken answer was taken for a restart: %s", <-recorder.restarted)
+			}
+		})
+	}
+}
+
+// TestBrokenAnswersToOrders guards against an order that counts as carried out though its answer
+// broke off.
+func TestBrokenAnswersToOrders(t *testing.T) {
+	tests := []struct {
+		name, text string
+		whole      bool
+	}{
+		{"whole", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", true},
+		{"closed within a body", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel", false},
+		{"closed within a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel", false},
+		{"status 000", "HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			url := startTarget(t, func(conn *net.TCPConn) { _, _ = io.WriteString(conn, tt.text) })
+			if err := engine.New(url).Order(t.Context(), order.Order{Load: "m"}); (err == nil) != tt.whole {
+				t.Errorf("error is %v, want none: %t", err, tt.whole)
+			}
+		})
+	}
+}
--- a/agent/engine/probe.go
+++ b/agent/engine/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -118,9 +119,19 @@
 	}
 	defer response.Body.Close()
 	var published loadReply
-	// A target that answers without reporting what it has loaded counts as reachable too.
-	_ = json.NewDecoder(io.LimitReader(response.Body, maxLoadBytes)).Decode(&published)
-	return published, nil
+	body := &io.LimitedReader{R: response.Body, N: maxLoadBytes}
+	err = json.NewDecoder(body).Decode(&published)
+	if brokeOff(err) && body.N > 0 {
+		return loadReply{}, trace.ConnectionProblem(err, "the connection to the target failed before its answer was complete")
+	}
+	return published, nil // a target that answers without reporting what it has loaded counts as reachable too
+}
+
+// brokeOff reports whether an error of decoding JSON means that its text ended too early.
+func brokeOff(err error) bool {
+	var syntax *json.SyntaxError
+	var mismatch *json.UnmarshalTypeError
+	return err != nil && !errors.Is(err, io.EOF) && !errors.As(err, &syntax) && !errors.As(err, &mismatch)
 }
 
 // watchedConn is a connection that signals its end on ended.
