adapter/upstream: refuse an answer of HTTP/1.0 with a transfer encoding

What callers saw: the chunks of a faulty target with their sizes as the body, in a 200 with its signature; a body that was not the target's, as with a hidden encoding.

Cause: net/http ignores Transfer-Encoding in an answer of HTTP/1.0 and reads up to the end of the connection. RFC 9112, 6.1, has a client treat the framing of such an answer as faulty.

Change: upstream.HeadScanner remembers the version and refuses the field.

FuzzHeadScanner: 20 s by hand, no failure.

--- a/adapter/upstream/head.go
+++ b/adapter/upstream/head.go
@@ -11,7 +11,8 @@
 var ErrMalformed = errors.New("the bytes are not an HTTP response")
 
 const (
-	protocol     = "HTTP/1." // any response of version 1 can be read
+	protocol     = "HTTP/1."           // any response of version 1 can be read
+	encoding     = "transfer-encoding" // the field, in lower case
 	statusColumn = len(protocol) + len("1 ")
 	reasonColumn = statusColumn + len("200")
 )
@@ -34,9 +35,11 @@
 // The zero value is at the begin of a head.
 type HeadScanner struct {
 	part   headPart
-	column int // of the next byte in the status line
+	column int  // of the next byte in the status line or in the name of a field
+	minor  byte // the digit of the version after the dot
 	status int
 	cr     bool // the previous byte is a carriage return
+	other  bool // the current field is not the encoding
 	lines  int
 }
 
@@ -82,12 +85,25 @@
 	case h.part == fieldValue:
 		return nil
 	case h.part == fieldName && b == ':':
-		h.part = fieldValue
-		return nil
+		return h.endName()
 	case !isToken(b):
 		return malformed(fmt.Sprintf("byte %#02x in the name of a field", b))
 	}
-	h.part = fieldName
+	if h.part == lineStart {
+		h.part, h.column, h.other = fieldName, 0, false
+	}
+	h.other = h.other || h.column >= len(encoding) || b|0x20 != encoding[h.column]
+	h.column++
+	return nil
+}
+
+// endName ends the name of the current field. HTTP/1.0 has no encodings, so that a body with one
+// has no known end.
+func (h *HeadScanner) endName() error {
+	if h.minor == '0' && !h.other && h.column == len(encoding) {
+		return malformed("an encoding that HTTP/1.0 lacks")
+	}
+	h.part = fieldValue
 	return nil
 }
 
@@ -100,6 +116,8 @@
 		return malformed("another protocol")
 	case column == statusColumn-1 && b != ' ', column == reasonColumn && b != ' ':
 		return malformed("no blank around the status")
+	case column == len(protocol):
+		h.minor = b
 	case column >= statusColumn && column < reasonColumn:
 		if !isDigit(b) {
 			return malformed("a status that is not a number")
--- a/adapter/upstream/head_test.go
+++ b/adapter/upstream/head_test.go
@@ -68,6 +68,14 @@
 		{"a letter beyond ASCII in a name", status + "A\xe9: b\r\n", 1, 18, malformed},
 		{"a bracket in a name", status + "A[: b\r\n", 1, 18, malformed},
 		{"an at sign in a name", status + "A@: b\r\n", 1, 18, malformed},
+		{"an encoding that HTTP/1.0 lacks", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", 1, 34, malformed},
+		{"the same in other letters", "HTTP/1.0 200 OK\r\ntransfer-ENCODING: chunked\r\n\r\n", 1, 34, malformed},
+		{"the encoding with HTTP/1.1", status + "Transfer-Encoding: chunked\r\n\r\n", 2, -1, ended},
+		{"the begin of the name of the encoding", "HTTP/1.0 200 OK\r\nTransfer: x\r\n\r\n", 2, -1, ended},
+		{"a longer name", "HTTP/1.0 200 OK\r\nTransfer-Encodings: x\r\n\r\n", 2, -1, ended},
+		{"a name that ends alike", "HTTP/1.0 200 OK\r\nX-Transfer-Encoding: x\r\n\r\n", 2, -1, ended},
+		{"another name of that length", "HTTP/1.0 200 OK\r\nTransfer+Encoding: x\r\n\r\n", 2, -1, ended},
+		{"the encoding after another field", "HTTP/1.0 200 OK\r\nTransfer: x\r\nTransfer-Encoding: chunked\r\n\r\n", 2, 47, malformed},
 		{"a control byte in a value", status + "A: b\x01\r\n", 1, 21, malformed},
 	}
 	for _, tt := range tests {
--- a/agent/engine/broken_test.go
+++ b/agent/engine/broken_test.go
@@ -84,6 +84,7 @@
 		{"a blank after the name of the length", text("HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\nhello, more"), 0},
 		{"a blank before the name of the length", text("HTTP/1.1 200 OK\r\nX-Other: y\r\n Content-Length: 5\r\n\r\nhello, more"), 0},
 		{"a blank after the name of the encoding", text("HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"), 0},
+		{"an encoding that HTTP/1.0 lacks", text("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"), 0},
 		{"status 000 after an interim response", text("HTTP/1.1 103 x\r\n\r\nHTTP/1.1 000 x\r\nContent-Length: 5\r\n\r\nhello"), 0},
 	}
 	for _, tt := range tests {
