adapter/upstream/upstreamtest: one server for tests of broken answers

The tests keep their cases and assertions; the socketless connection of a test has a name that says so.

--- a/adapter/platform/broken_test.go
+++ b/adapter/platform/broken_test.go
@@ -1,12 +1,10 @@
 package platform
 
 import (
-	"bufio"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 	"time"
+
+	"hornbeamtray/adapter/upstream/upstreamtest"
 )
 
 // recorder is a reader that records the results of reads.
@@ -36,21 +34,9 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer listener.Close()
-			go func() {
-				for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
-					if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-						_, _ = io.WriteString(conn, tt.text)
-					}
-					_ = conn.Close()
-				}
-			}()
+			server := upstreamtest.NewServer(t, upstreamtest.Text(tt.text))
 			results := recorder{versions: make(chan uint64, 99), failures: make(chan error, 99)}
-			w := newWatcher("http://"+listener.Addr().String(), ConfigurationPath, nil, nil, results)
+			w := newWatcher(server.URL(), ConfigurationPath, nil, nil, results)
 			defer w.Close()
 			select {
 			case version := <-results.versions:
--- a/adapter/upstream/conn_test.go
+++ b/adapter/upstream/conn_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hornbeamtray/adapter/upstream"
+	"hornbeamtray/adapter/upstream/upstreamtest"
 )
 
 // dial returns both ends of a connection. The first is that of the client.
@@ -36,10 +37,6 @@
 // TestEndOfFile guards against a reset that looks like the end of a response, since the kernel
 // reported it to a write, and against an end that is taken for a reset.
 func TestEndOfFile(t *testing.T) {
-	reset := func(peer *net.TCPConn) {
-		_ = peer.SetLinger(0)
-		_ = peer.Close()
-	}
 	closeThen := func(next func(*net.TCPConn)) func(*net.TCPConn) {
 		return func(peer *net.TCPConn) {
 			_ = peer.CloseWrite()
@@ -55,13 +52,13 @@
 		err    error
 	}{
 		{"closed", 0, func(peer *net.TCPConn) { peer.Close() }, false, nil},
-		{"reset", 0, reset, false, syscall.ECONNRESET},
-		{"reset during a write", 16 << 20, reset, false, syscall.ECONNRESET},
-		{"reset during a write, read later", 16 << 20, reset, true, syscall.ECONNRESET},
+		{"reset", 0, upstreamtest.Reset, false, syscall.ECONNRESET},
+		{"reset during a write", 16 << 20, upstreamtest.Reset, false, syscall.ECONNRESET},
+		{"reset during a write, read later", 16 << 20, upstreamtest.Reset, true, syscall.ECONNRESET},
 		{"closed for writing during a write", 16 << 20, closeThen(func(*net.TCPConn) {}), false, nil},
-		{"closed, then reset", 0, closeThen(reset), false, nil},
-		{"closed, then reset during a write", 16 << 20, closeThen(reset), false, nil},
-		{"closed, then reset during a write, read later", 16 << 20, closeThen(reset), true, nil},
+		{"closed, then reset", 0, closeThen(upstreamtest.Reset), false, nil},
+		{"closed, then reset during a write", 16 << 20, closeThen(upstreamtest.Reset), false, nil},
+		{"closed, then reset during a write, read later", 16 << 20, closeThen(upstreamtest.Reset), true, nil},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -92,16 +89,16 @@
 	}
 }
 
-// pathless is a connection without a socket that ends at once.
-type pathless struct{ net.Conn }
+// socketless is a connection without a socket that ends at once.
+type socketless struct{ net.Conn }
 
-func (pathless) Read([]byte) (int, error)  { return 0, io.EOF }
-func (pathless) Write([]byte) (int, error) { return 0, syscall.ECONNRESET }
+func (socketless) Read([]byte) (int, error)  { return 0, io.EOF }
+func (socketless) Write([]byte) (int, error) { return 0, syscall.ECONNRESET }
 
 // TestEndOfFileWithoutSocket checks that the failure of a write counts where the state of the
 // connection is not known.
 func TestEndOfFileWithoutSocket(t *testing.T) {
-	conn := upstream.NewConn(pathless{})
+	conn := upstream.NewConn(socketless{})
 	if _, err := conn.Read(nil); err != io.EOF {
 		t.Errorf("error is %v, want io.EOF", err)
 	}
--- a/adapter/upstream/transport_test.go
+++ b/adapter/upstream/transport_test.go
@@ -1,51 +1,29 @@
 package upstream_test
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"hornbeamtray/adapter/upstream"
+	"hornbeamtray/adapter/upstream/upstreamtest"
 )
 
-// startServer starts a server that sends a whole response to the first request on each of its
-// connections if kept is set, and text to the next. It returns its URL, and counters of its requests and
-// connections.
-func startServer(t *testing.T, kept bool, text string) (url string, requests, conns *atomic.Int64) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	requests, conns = &atomic.Int64{}, &atomic.Int64{}
-	go func() {
-		for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
-			t.Cleanup(func() { conn.Close() })
-			conns.Add(1)
-			go func() {
-				reader := bufio.NewReader(conn)
-				for whole := kept; ; whole = false {
-					if _, err := http.ReadRequest(reader); err != nil {
-						return
-					}
-					requests.Add(1)
-					answer := text
-					if whole {
-						answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
-					}
-					_, _ = io.WriteString(conn, answer)
-				}
-			}()
+// afterWhole returns a handler that sends a whole response to the first request on each connection
+// if kept is set, and text to the others.
+func afterWhole(kept bool, text string) upstreamtest.Handler {
+	return func(conn *net.TCPConn, _ *http.Request, n int) bool {
+		answer := text
+		if kept && n == 0 {
+			answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
 		}
-	}()
-	return "http://" + listener.Addr().String(), requests, conns
+		_, _ = io.WriteString(conn, answer)
+		return true
+	}
 }
 
 // TestMalformedResponses guards against bytes that net/http takes for a response though they are
@@ -62,26 +40,26 @@
 	for _, tt := range tests {
 		for _, kept := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, kept: %t", tt.name, kept), func(t *testing.T) {
-				url, requests, conns := startServer(t, kept, tt.text)
+				server := upstreamtest.NewServer(t, afterWhole(kept, tt.text))
 				transport := upstream.NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext})
 				defer transport.CloseIdleConnections()
 				client := &http.Client{Transport: transport, Timeout: 5 * time.Second}
 				sent := int64(1)
 				if kept {
 					sent++
-					if text, err := get(client, url); text != "hello" || err != nil {
+					if text, err := get(client, server.URL()); text != "hello" || err != nil {
 						t.Fatalf("the first response is %q, %v", text, err)
 					}
 				}
-				if text, err := get(client, url); !errors.Is(err, upstream.ErrMalformed) {
+				if text, err := get(client, server.URL()); !errors.Is(err, upstream.ErrMalformed) {
 					t.Errorf("the response is %q, %v; want ErrMalformed", text, err)
 				}
-				if requests.Load() != sent || conns.Load() != 1 {
-					t.Errorf("the server received %d requests on %d connections, want %d on 1", requests.Load(), conns.Load(), sent)
+				if server.Requests() != sent || server.Connections() != 1 {
+					t.Errorf("the server received %d requests on %d connections, want %d on 1", server.Requests(), server.Connections(), sent)
 				}
-				_, _ = get(client, url)
-				if conns.Load() != 2 {
-					t.Errorf("the next request came on connection %d, want another", conns.Load())
+				_, _ = get(client, server.URL())
+				if server.Connections() != 2 {
+					t.Errorf("the next request came on connection %d, want another", server.Connections())
 				}
 			})
 		}
@@ -99,16 +77,16 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			url, _, conns := startServer(t, false, tt.text)
+			server := upstreamtest.NewServer(t, afterWhole(false, tt.text))
 			transport := upstream.NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext})
 			defer transport.CloseIdleConnections()
 			for range 3 {
-				if text, err := get(&http.Client{Transport: transport}, url); text != tt.body || err != nil {
+				if text, err := get(&http.Client{Transport: transport}, server.URL()); text != tt.body || err != nil {
 					t.Errorf("the response is %q, %v; want %q", text, err, tt.body)
 				}
 			}
-			if conns.Load() != 1 {
-				t.Errorf("three requests took %d connections, want 1", conns.Load())
+			if server.Connections() != 1 {
+				t.Errorf("three requests took %d connections, want 1", server.Connections())
 			}
 		})
 	}
@@ -116,11 +94,11 @@
 
 // TestOtherScheme guards against a redirect to a connection whose responses can't be checked.
 func TestOtherScheme(t *testing.T) {
-	url, requests, conns := startServer(t, false, "HTTP/1.1 302 Found\r\nLocation: https://127.0.0.1:1/\r\nContent-Length: 0\r\n\r\n")
+	server := upstreamtest.NewServer(t, afterWhole(false, "HTTP/1.1 302 Found\r\nLocation: https://127.0.0.1:1/\r\nContent-Length: 0\r\n\r\n"))
 	transport := upstream.NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext})
 	defer transport.CloseIdleConnections()
-	if text, err := get(&http.Client{Transport: transport}, url); err == nil || requests.Load() != 1 || conns.Load() != 1 {
-		t.Errorf("the response is %q after %d requests on %d connections, want an error after one", text, requests.Load(), conns.Load())
+	if text, err := get(&http.Client{Transport: transport}, server.URL()); err == nil || server.Requests() != 1 || server.Connections() != 1 {
+		t.Errorf("the response is %q after %d requests on %d connections, want an error after one", text, server.Requests(), server.Connections())
 	}
 }
 
--- a/agent/engine/broken_test.go
+++ b/agent/engine/broken_test.go
@@ -1,7 +1,6 @@
 package engine_test
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -13,34 +12,13 @@
 	"testing"
 	"time"
 
+	"hornbeamtray/adapter/upstream/upstreamtest"
 	"hornbeamtray/agent/answer"
 	"hornbeamtray/agent/engine"
 	"hornbeamtray/agent/serve"
 	"hornbeamtray/core/order"
 )
 
-// startTarget starts a target that reads the head of each request and passes its connection to
-// answer. It returns the target's URL.
-func startTarget(t *testing.T, answer func(conn *net.TCPConn)) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
-			go func() {
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					answer(conn.(*net.TCPConn))
-				}
-			}()
-		}
-	}()
-	return "http://" + listener.Addr().String()
-}
-
 // slowSink is a serve.Sink that keeps an answer, and takes a pause before each part of it.
 type slowSink struct {
 	head  answer.Head
@@ -59,23 +37,20 @@
 // TestBrokenAnswers guards against bytes of a target that are no whole answer and are taken for
 // one. Nothing is known then of the run.
 func TestBrokenAnswers(t *testing.T) {
-	reset := func(text string) func(*net.TCPConn) {
-		return func(conn *net.TCPConn) {
-			_, _ = io.WriteString(conn, text)
-			time.Sleep(10 * time.Millisecond)
-			_ = conn.SetLinger(0)
-		}
-	}
-	text := func(text string) func(*net.TCPConn) {
-		return func(conn *net.TCPConn) { _, _ = io.WriteString(conn, text) }
+	reset := func(conn *net.TCPConn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhello")
+		time.Sleep(10 * time.Millisecond) // the text arrives before the reset
+		upstreamtest.Reset(conn)
+		return false
 	}
+	text := upstreamtest.Text
 	tests := []struct {
 		name   string
-		answer func(*net.TCPConn)
+		answer upstreamtest.Handler
 		body   int // bytes of the request
 	}{
-		{"reset while a long request is written", reset("HTTP/1.1 200 OK\r\n\r\nhello"), 4 << 20},
-		{"reset", reset("HTTP/1.1 200 OK\r\n\r\nhello"), 0},
+		{"reset while a long request is written", reset, 4 << 20},
+		{"reset", reset, 0},
 		{"status 000", text("HTTP/1.1 000 x\r\nContent-Length: 5\r\n\r\nhello"), 0},
 		{"status 101", text("HTTP/1.1 101 x\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nhello"), 0},
 		{"status 600", text("HTTP/1.1 600 x\r\nContent-Length: 5\r\n\r\nhello"), 0},
@@ -89,7 +64,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			client := engine.New(startTarget(t, tt.answer))
+			client := engine.New(upstreamtest.NewServer(t, tt.answer).URL())
 			for range 20 {
 				var sink slowSink
 				err := client.Run(t.Context(), serve.Call{ID: "r", Name: "generate", Body: make([]byte, tt.body)}, &sink)
@@ -131,16 +106,17 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			var requests atomic.Int64
-			url := startTarget(t, func(conn *net.TCPConn) {
+			var answered atomic.Bool // the first probe
+			server := upstreamtest.NewServer(t, func(conn *net.TCPConn, _ *http.Request, _ int) bool {
 				text := tt.text
-				if requests.Add(1) == 1 {
+				if answered.CompareAndSwap(false, true) {
 					text = strings.Replace(whole, "\r\n", "\r\nConnection: close\r\n", 1)
 				}
 				_, _ = io.WriteString(conn, text)
+				return false
 			})
 			recorder := probeRecorder{reached: make(chan bool, 9), restarted: make(chan string, 9)}
-			probe := engine.NewProbe(url, recorder)
+			probe := engine.NewProbe(server.URL(), recorder)
 			defer probe.Close()
 			if !<-recorder.reached {
 				t.Fatal("the first probe did not reach the target")
@@ -169,8 +145,8 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			url := startTarget(t, func(conn *net.TCPConn) { _, _ = io.WriteString(conn, tt.text) })
-			if err := engine.New(url).Order(t.Context(), order.Order{Load: "m"}); (err == nil) != tt.whole {
+			server := upstreamtest.NewServer(t, upstreamtest.Text(tt.text))
+			if err := engine.New(server.URL()).Order(t.Context(), order.Order{Load: "m"}); (err == nil) != tt.whole {
 				t.Errorf("error is %v, want none: %t", err, tt.whole)
 			}
 		})
--- a/agent/engine/early_test.go
+++ b/agent/engine/early_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"hornbeamtray/adapter/upstream/upstreamtest"
 	"hornbeamtray/agent/engine"
 	"hornbeamtray/agent/serve"
 )
@@ -29,11 +30,13 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			client := engine.New(startTarget(t, func(conn *net.TCPConn) {
+			server := upstreamtest.NewServer(t, func(conn *net.TCPConn, _ *http.Request, _ int) bool {
 				_, _ = io.WriteString(conn, tt.answer+text)
 				_ = conn.CloseWrite()
 				time.Sleep(10 * time.Millisecond) // the answer arrives before the reset that follows
-			}))
+				return false
+			})
+			client := engine.New(server.URL())
 			for range 20 {
 				sink := slowSink{pause: tt.pause}
 				err := client.Run(t.Context(), serve.Call{ID: "r", Name: "generate", Body: make([]byte, 4<<20)}, &sink)
