adapter/upstream: refuse a malformed head that arrives in segments

What callers saw: still an answer whose head had a malformed field, with the target's signature, if the bytes before the malformed ones came in a segment of their own: the malformed segment was left out and the next one read as the rest of the head. Or they waited up to their deadline if nothing followed.

The readers reported the malformed bytes once. bufio's ReadLine returns the part of a line that it has without the error, and net/http then reads on.

Change: the readers of package pool and the connections of upstream.Transport fail at a malformed head for good, and return that error rather than what net/http makes of the bytes before. A first byte that is malformed is passed on only at the begin of a head.

--- a/adapter/pool/limit.go
+++ b/adapter/pool/limit.go
@@ -22,6 +22,7 @@
 	remaining int64                 // bytes, if limited
 	lines     int                   // that heads may still have, if limited; negative beyond the limit
 	head      *upstream.HeadScanner // of the latest head; nil for none
+	malformed error                 // what is wrong with a head, for good; nil for nothing
 	failure   error                 // the latest error of source; nil for none
 }
 
@@ -45,16 +46,20 @@
 		return nil
 	}
 	before := l.head.Lines()
-	_, err := l.head.Scan(p)
+	_, l.malformed = l.head.Scan(p)
 	l.lines -= l.head.Lines() - before
 	if l.limited && l.lines < 0 {
 		return ErrTooManyLines
 	}
-	return err
+	return l.malformed
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It fails for good at a malformed head: bufio drops an error that follows
+// a part of a line, and would read on behind the malformed bytes.
 func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.malformed != nil {
+		return 0, l.malformed
+	}
 	if l.limited {
 		if l.remaining <= 0 {
 			return 0, ErrTooManyBytes
--- a/adapter/pool/pool.go
+++ b/adapter/pool/pool.go
@@ -231,7 +231,11 @@
 	if err := c.limited.beginHead(buffered); err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(c.reader, request)
+	response, err := http.ReadResponse(c.reader, request)
+	if err != nil && c.limited.malformed != nil {
+		err = c.limited.malformed // http.ReadResponse returns what it makes of the bytes before
+	}
+	return response, err
 }
 
 // isIdle reports whether the connection is open and has no unread bytes.
--- a/adapter/upstream/transport.go
+++ b/adapter/upstream/transport.go
@@ -87,13 +87,16 @@
 	return c.failure
 }
 
-// Read implements net.Conn. If it fails at a head, it returns the bytes before, and no more:
-// net/http would accept a head that it has in full. It returns one byte at least, since net/http
-// sends some requests again if it read nothing.
+// Read implements net.Conn. If it fails at a head, it returns the bytes before, and none later:
+// net/http would accept a head that it has in full, and bufio drops an error that follows a part
+// of a line.
 func (c *scannedConn) Read(p []byte) (int, error) {
+	if failure := c.headFailure(); failure != nil {
+		return 0, failure
+	}
 	n, err := c.Conn.Read(p)
 	if valid, malformed := c.scan(p[:n]); malformed != nil {
-		n, err = max(1, valid), malformed
+		n, err = valid, malformed
 	}
 	if err != nil {
 		c.endReads.Do(func() { close(c.readsEnded) })
@@ -118,16 +121,21 @@
 }
 
 // scan checks the heads in p, of the final response and of the interim ones before it. With an
-// error, it returns how many bytes are valid.
+// error, it returns how many bytes net/http may read: those that are valid. Of a head whose first
+// byte is malformed, it may read that one, since it sends some requests again if it read nothing.
 func (c *scannedConn) scan(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	scanned := 0
+	atBegin := c.head == HeadScanner{}
 	for scanned < len(p) && !c.head.Done() {
 		n, err := c.head.Scan(p[scanned:])
 		scanned += n
 		if err != nil {
 			c.failure = err
+			if atBegin && scanned == 0 {
+				return 1, err
+			}
 			return scanned, err
 		}
 		if c.head.Done() && c.head.Interim() {
--- a/adapter/upstream/transport_test.go
+++ b/adapter/upstream/transport_test.go
@@ -66,6 +66,40 @@
 	}
 }
 
+// TestMalformedHeadInSegments guards against a malformed head that is accepted without its
+// malformed part, or awaited further, because it arrives in segments.
+func TestMalformedHeadInSegments(t *testing.T) {
+	const length = "Content-Length: 5\r\n\r\nhello"
+	tests := []struct {
+		name     string
+		segments []string
+	}{
+		{"a control byte within a value", []string{"HTTP/1.1 200 OK\r\nA: x", "\x01y", "\r\n" + length}},
+		{"a control byte at the end of a value", []string{"HTTP/1.1 200 OK\r\nA: x", "\x01", "\r\n" + length}},
+		{"a folded line", []string{"HTTP/1.1 200 OK\r\nA: x\r\n", " B: y\r\n", length}},
+		{"a control byte in the reason", []string{"HTTP/1.1 200 O", "\x01K", "\r\n" + length}},
+		{"the same in one segment", []string{"HTTP/1.1 200 O\x01K", "\r\n" + length}},
+		{"the same, nothing follows", []string{"HTTP/1.1 200 O\x01K"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			server := upstreamtest.NewServer(t, func(conn *net.TCPConn, _ *http.Request, _ int) bool {
+				for _, segment := range tt.segments {
+					_, _ = io.WriteString(conn, segment)
+					time.Sleep(20 * time.Millisecond) // the client reads each segment by itself
+				}
+				return true
+			})
+			transport := upstream.NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext})
+			defer transport.CloseIdleConnections()
+			text, err := get(&http.Client{Transport: transport, Timeout: 2 * time.Second}, server.URL())
+			if !errors.Is(err, upstream.ErrMalformed) {
+				t.Errorf("the response is %q, %v; want ErrMalformed", text, err)
+			}
+		})
+	}
+}
+
 // TestResponsesOnOneConnection guards against bytes of a body that are taken for a head.
 func TestResponsesOnOneConnection(t *testing.T) {
 	const interim = "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
