adapter/upstream: report no end of a connection that has failed

What callers saw: nothing that was shown. After a read had returned a reset, the next one returned the end of file, which Conn promises never to do after a failure, and a reader that drops an error, as bufio does after a part of a line, would have taken that for the end of an answer.

Cause: the kernel reports a failure once, also to reads.

Change: Conn keeps the failure of a read, other than a deadline's, and returns it in place of an end.

--- a/adapter/upstream/conn.go
+++ b/adapter/upstream/conn.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 
@@ -25,6 +26,8 @@
 type Conn struct {
 	net.Conn
 
+	readFailure error // the latest error of a read other than io.EOF; nil for none
+
 	writing      sync.Mutex // held while a write is in progress
 	writeFailure error      // guarded by writing; the first error of a write
 }
@@ -66,15 +69,21 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		err = c.endOfFile()
+	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
+		c.readFailure = err
 	}
 	return n, err
 }
 
-// endOfFile returns io.EOF if the peer closed the connection, or the failure that a write was
-// told of.
+// endOfFile returns io.EOF if the peer closed the connection, or else the failure that an earlier
+// read or a write was told of.
 func (c *Conn) endOfFile() error {
+	if c.readFailure != nil {
+		return c.readFailure
+	}
 	if c.state() == stateCloseWait {
 		return io.EOF
 	}
--- a/adapter/upstream/conn_test.go
+++ b/adapter/upstream/conn_test.go
@@ -83,6 +83,9 @@
 				if string(text) != "hello" || !errors.Is(err, tt.err) {
 					t.Fatalf("read %q and %v, want the text and %v", text, err, tt.err)
 				}
+				if _, err := client.Read(make([]byte, 1)); err == io.EOF != (tt.err == nil) {
+					t.Fatalf("another read returned %v, want an end only after a close", err)
+				}
 				client.Close()
 			}
 		})
