--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -37,7 +37,7 @@
 	dialTimeout     = 5 * time.Second
 	readBufferBytes = 8 << 10
 	maxHeadBytes    = 64 << 10
-	maxOrderBytes   = 64 << 10 // of the answer to an order
+	maxReplyBytes   = 64 << 10 // of the answer to an order
 	maxTypeBytes    = 1 << 10  // of a Content-Type, which kept answers hold beside their bytes
 )
 
@@ -154,7 +154,7 @@
 	if response.StatusCode != http.StatusOK {
 		return trace.CompareFailed("the engine rejected an order with status %s", response.Status)
 	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxOrderBytes)); err != nil {
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxReplyBytes)); err != nil {
 		return trace.ConnectionProblem(err, "the connection to the engine failed before its answer to an order was complete")
 	}
 	return nil
--- a/entry/agents/agents.go
+++ b/entry/agents/agents.go
@@ -98,7 +98,8 @@
 	reusable bool // the agent has ended the stream, so the connection can be used again
 }
 
-// Next waits for the next part and returns it. A head that no answer has is an error.
+// Next waits for the next part and returns it. It returns an error for a head without a final
+// status.
 func (s *stream) Next() (serve.Part, error) {
 	piece, err := s.pieces.Recv()
 	if err != nil {
