--- a/adapter/upstream/upstreamtest/server.go
+++ b/adapter/upstream/upstreamtest/server.go
@@ -9,10 +9,13 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gopkg.in/tomb.v2"
 )
 
+const segmentPause = 20 * time.Millisecond
+
 // Handler answers a request, whose body is not read yet. n is the number of requests that came
 // before it on the connection. It reports whether another one may follow; otherwise the
 // connection is closed.
@@ -26,6 +29,14 @@
 	}
 }
 
+// WriteSegments writes texts so that the client reads each by itself.
+func WriteSegments(conn *net.TCPConn, texts ...string) {
+	for _, text := range texts {
+		_, _ = io.WriteString(conn, text) // fails only if the client has closed the connection
+		time.Sleep(segmentPause)
+	}
+}
+
 // Reset closes a connection so that its client gets an error in place of the end.
 func Reset(conn *net.TCPConn) {
 	_ = conn.SetLinger(0) // fails only if the connection is closed
@@ -132,7 +143,7 @@
 			return nil
 		}
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
-			return nil // the same
+			return nil // the client has closed the connection
 		}
 	}
 }
