gateway/serve: continue only a stream with the answer of another run

It takes a route whose streams may be resumed, and a target that breaks off an answer of more than 64 KiB that is no stream.

Cause: deliverUnbuffered passes such an answer on as it arrives. When it broke, newAttempt set Resumes by the kind of the route, and receive handed the next 2xx answer to deliverStream whatever the caller had so far.

Now Resumes holds only once the head of a stream was passed on (streamBegun), so that such an answer breaks off at the caller, as it did at the target.

--- a/gateway/serve/deliver.go
+++ b/gateway/serve/deliver.go
@@ -158,7 +158,7 @@
 		if d.begin(head) != nil {
 			return false
 		}
-		d.headSent = true
+		d.headSent, d.streamBegun = true, true
 	}
 	d.recordPart()
 	if len(complete) > 0 && d.out.Write(complete) != nil {
--- a/gateway/serve/failure_test.go
+++ b/gateway/serve/failure_test.go
@@ -50,6 +50,58 @@
 	}
 }
 
+// TestAnswersOfTwoRuns guards against a caller that receives part of a long answer that is no
+// stream, followed by another run's answer, as one complete answer.
+func TestAnswersOfTwoRuns(t *testing.T) {
+	long := strings.Repeat("the model failed\n", 6000)
+	broken := func(code int) step {
+		s := status(code)
+		s.head.Length, s.parts, s.breaksOff = -1, []string{long}, true
+		return s
+	}
+	whole := func(code int) step {
+		s := status(code)
+		s.head.Length, s.parts = -1, []string{long}
+		return s
+	}
+	stream := answer("id: 1\n\n")
+	tests := []struct {
+		name   string
+		path   string
+		script []step
+		status int
+		whole  bool
+	}{
+		{"a failure on a stream's route, then a stream", "/stream/", []step{broken(500), stream}, 500, false},
+		{"a failure on a stream's route, then another", "/stream/", []step{broken(500), whole(500)}, 500, false},
+		{"a client error on a stream's route, then a stream", "/stream/", []step{broken(404), stream}, 404, false},
+		{"a failure on a stream's route that can't be resumed, then a stream", "/single/", []step{broken(500), stream}, 500, false},
+		{"a failure on an idempotent route, then an answer", "/again/", []step{broken(500), whole(200)}, 500, false},
+		{"an answer on an idempotent route, then another", "/again/", []step{broken(200), whole(200)}, 200, false},
+		{"a whole failure on a stream's route", "/stream/", []step{whole(500), stream}, 500, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fake := &scriptedTargets{script: tt.script}
+				service := serve.New(newState(), fake, discard{}, discard{})
+				defer service.Close()
+				var c caller
+				outcome := service.Serve(t.Context(), serve.Request{ID: "r", Host: "h", Path: tt.path, Key: "k"}, &c)
+				if len(c.heads) != 1 || c.heads[0].Status != tt.status || c.body.String() != long || len(fake.calls) != 1 {
+					t.Errorf("the caller received heads %+v and %d bytes of %d calls, want one with status %d and %d bytes of one", c.heads, c.body.Len(), len(fake.calls), tt.status, len(long))
+				}
+				if (outcome.Refusal == nil) != tt.whole || !outcome.HeadSent {
+					t.Errorf("refusal = %v, want none: %t", outcome.Refusal, tt.whole)
+				}
+				if outcome.Refusal != nil && outcome.Refusal.Ran == refusal.No {
+					t.Errorf("refusal = %v, but the request ran", outcome.Refusal)
+				}
+			})
+		})
+	}
+}
+
 // TestRepeatAfterRouteChanged guards against a second run of a request whose route was
 // declared not repeatable after its first attempt, which may have run.
 func TestRepeatAfterRouteChanged(t *testing.T) {
--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -96,6 +96,7 @@
 	possibleRuns int         // attempts that may have run
 	ran          refusal.Ran // whether the request ran: the most cautious statement of all attempts
 	headSent     bool
+	streamBegun  bool          // the caller has the head of a stream, which another run can continue
 	headReceived bool          // of the current attempt's answer
 	events       int           // complete events of the current attempt's answer
 	bodyReceived bool          // a part of the current attempt's answer that is not an event stream
@@ -304,7 +305,7 @@
 	case head.Status < 300 && d.admission.Route.Kind == route.Stream:
 		d.service.recordGroupWorking(d.target)
 		return d.deliverStream(reply, wd)
-	case d.headSent: // the caller has the beginning of a stream, which only a stream can continue
+	case d.streamBegun: // only a stream can continue what the caller has
 		return d.failedAttempt(head), false
 	default:
 		return d.deliverBuffered(reply)
@@ -369,7 +370,7 @@
 // newAttempt describes the current attempt, which ended with end.
 func (d *delivery) newAttempt(end retry.End) retry.Attempt {
 	return retry.Attempt{
-		End: end, Idempotent: d.admission.Route.Repeatable(), Resumes: d.admission.Route.Kind == route.Stream,
+		End: end, Idempotent: d.admission.Route.Repeatable(), Resumes: d.streamBegun,
 		Delivered: d.headSent, Sends: 1,
 	}
 }
