entry/serve, agent/serve: continue only a success

Callers could get two errors, or an error and a success, of two runs as one complete answer, from services whose answers may be resumed.

Cause: an entry instance asked another target to continue an error that broke off, and checked only that the status was the same. An agent paused any answer that its reader blocked, called the target again, and took what it returned for the rest, whatever its status.

Now only a success is resumed or paused, and a call that goes on with another status than the first fails the run with ran=unknown.

--- a/agent/serve/run.go
+++ b/agent/serve/run.go
@@ -22,6 +22,9 @@
 // for longer than the block timeout. The run is then paused.
 var errReaderBlocked = errors.New("the reader blocked the answer for too long")
 
+// errOtherAnswer ends a run that was resumed, and whose target then answered with another status.
+var errOtherAnswer = errors.New("the target's answer doesn't continue the one that it began")
+
 // run is the execution of one request at the target.
 type run struct {
 	service   *Service
@@ -30,6 +33,7 @@
 	kept      bool // the answer is stored whole, for repeats of the request
 	resumable bool // the target can continue the answer from an offset
 	started   bool // a call before the present one reached the target
+	status    int  // of the first call's answer; 0 before its head
 	ctx       context.Context
 	cancel    context.CancelFunc
 }
@@ -75,18 +79,23 @@
 	r.service.change(func(state target.State, now time.Time) target.State { return state.End(result, now) })
 }
 
-// call calls the target. If no byte of the answer was received yet and the ticket has
-// expired, it returns errExpired instead: the ticket was valid when the control
-// goroutine started the run, but this process may have been paused since then.
-func (r *run) call(sink Sink) error {
+// call calls the target, and returns errOtherAnswer if the answer doesn't continue that of the
+// first call. If no byte of the answer was received yet and the ticket has expired, it returns
+// errExpired instead: the ticket was valid when the control goroutine started the run, but this
+// process may have been paused since then.
+func (r *run) call(sink *measuringSink) error {
 	t := r.request.Ticket
 	if t.Expired(time.Now()) && r.answer.Offset() == r.request.Offset {
 		return trace.Wrap(errExpired)
 	}
-	return r.service.engine.Run(r.ctx, Call{
+	err := r.service.engine.Run(r.ctx, Call{
 		ID: t.ID, Attempt: r.request.Attempt, Name: t.Call,
 		ContentType: r.request.ContentType, Body: r.request.Body, Offset: r.answer.Offset(),
 	}, sink)
+	if sink.status != 0 && sink.status != r.status {
+		return errOtherAnswer
+	}
+	return err
 }
 
 var errExpired = errors.New("the ticket expired before the request started")
@@ -145,7 +154,7 @@
 }
 
 // measuringSink is a Sink that writes to the run's answer and measures the target's
-// steps, which are the times between parts of the answer. If the run is resumable,
+// steps, which are the times between parts of the answer. If the answer can be resumed,
 // Write fails when the reader blocks for too long.
 type measuringSink struct {
 	run       *run
@@ -165,19 +174,25 @@
 	return &measuringSink{run: r}
 }
 
-// Begin sets the head of the answer.
+// Begin sets the head of the answer, unless an earlier call has.
 func (p *measuringSink) Begin(head answer.Head) {
-	p.run.answer.Begin(head)
+	if p.run.status == 0 {
+		p.run.status = head.Status
+		p.run.answer.Begin(head)
+	}
 	p.status = head.Status
 	p.lastPart = time.Now()
 }
 
-// Write appends bytes to the answer. If the run is resumable and the reader blocks
-// for longer than the service's block timeout, it returns errReaderBlocked.
+// Write appends bytes to the answer. If the answer is a success, the run is resumable and the
+// reader blocks for longer than the service's block timeout, it returns errReaderBlocked.
 func (p *measuringSink) Write(ctx context.Context, bytes []byte) error {
+	if p.status != p.run.status {
+		return errOtherAnswer
+	}
 	p.observe(time.Since(p.lastPart))
 	defer func() { p.lastPart = time.Now() }()
-	if !p.run.resumable {
+	if !p.run.resumable || p.status >= http.StatusMultipleChoices {
 		return p.run.answer.Write(ctx, bytes)
 	}
 	writeCtx, cancel := context.WithTimeout(ctx, p.run.service.blockTimeout)
--- a/entry/serve/request.go
+++ b/entry/serve/request.go
@@ -303,11 +303,12 @@
 	return 0, true
 }
 
-// attemptWithEnd returns a description of the current attempt with the given end.
+// attemptWithEnd returns a description of the current attempt with the given end. Another run can
+// continue only a success.
 func (d *delivery) attemptWithEnd(end retry.End) retry.Attempt {
 	return retry.Attempt{
 		End: end, Idempotent: d.idempotent, Delivered: d.headSent,
-		Resumes: d.admission.Service.Resumes, CallerHasTicket: d.request.Ticket != nil, Sends: d.ticketSends,
+		Resumes: d.admission.Service.Resumes && d.status < 300, CallerHasTicket: d.request.Ticket != nil, Sends: d.ticketSends,
 	}
 }
 
--- a/entry/serve/resume_test.go
+++ b/entry/serve/resume_test.go
@@ -75,19 +75,28 @@
 func (discard) Changes(_, _ trail.Trail)      {}
 
 // TestErrorAfterAnswerBegan guards against the text of a target's error in the middle of
-// an answer that another target began, and against an answer that then ends as if whole.
+// an answer that another target began, and against an answer that then ends as if whole. Nor does
+// a run continue the error with which another has failed.
 func TestErrorAfterAnswerBegan(t *testing.T) {
 	head := func(status int) serve.Part { return serve.Part{Head: &serve.Head{Status: status}} }
 	tests := []struct {
-		name   string
-		status int
-		whole  bool
-	}{{"continued", 200, true}, {"not found", 404, false}, {"server error", 500, false}}
+		name  string
+		first int // status of the answer that breaks off
+		next  int // status of the answer of another target
+		whole bool
+	}{
+		{"continued", 200, 200, true},
+		{"not found", 200, 404, false},
+		{"server error", 200, 500, false},
+		{"server error twice", 500, 500, false},
+		{"not found twice", 404, 404, false},
+		{"server error, then an answer", 500, 200, false},
+	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			agents := &scriptedAgents{script: [][]serve.Part{
-				{head(200), {Data: []byte("begun ")}},
-				{head(tt.status), {Offset: 6, Data: []byte("more")}, {End: &serve.End{Length: 10, Digest: xxhash.Sum64String("more")}}},
+				{head(tt.first), {Data: []byte("begun ")}},
+				{head(tt.next), {Offset: 6, Data: []byte("more")}, {End: &serve.End{Length: 10, Digest: xxhash.Sum64String("more")}}},
 			}}
 			service := serve.New(entry.New("e", "d"), agents, discard{}, discard{})
 			defer service.Close()
