gateway/serve: don't take the departure of a target for the end of its answer

Cause: an answer without a length counted as whole if its target no longer ran, had said that it leaves, and its entry was removed within a second. That is how a target goes that must be gone by a fixed time, whether or not it has finished. The time since the notice doesn't help: 2 s are also the least that a planned departure takes.

Now only a target that still runs proves the end.

Five cases of TestLastAnswerOfLeavingTarget were wrong: they took the removal for a proof, and expected a whole answer. They now expect that the answer is broken off, or that another target is asked, and failed before; three more check that a target that leaves and still runs does prove it.

--- a/gateway/serve/unframed_test.go
+++ b/gateway/serve/unframed_test.go
@@ -98,7 +98,9 @@
 func (l *leavingTargets) Presence(context.Context, string, int64) serve.Presence { return l.presence }
 
 // TestLastAnswerOfLeavingTarget guards against an answer that ends with its connection and is
-// taken for whole or for broken off without evidence, as its target exits.
+// taken for whole without evidence as its target exits, or for broken off though it still runs.
+// That its entry is removed at that moment is none: one that must be gone by a fixed time may
+// leave in the middle of its answers.
 func TestLastAnswerOfLeavingTarget(t *testing.T) {
 	unframed := func(leaving bool, parts ...string) step {
 		s := answer(parts...)
@@ -119,18 +121,21 @@
 		calls    int
 		whole    bool
 	}{
-		{"a stream, exited in order", "/single/", false, serve.Gone, soon, []step{unframed(true, "id: 1\n\n")}, "id: 1\n\n", 1, true},
+		{"a stream, its entry is removed", "/single/", false, serve.Gone, soon, []step{unframed(true, "id: 1\n\n")}, "id: 1\n\n", 1, false},
 		{"a stream, its entry stays", "/single/", false, serve.Gone, late, []step{unframed(true, "id: 1\n\n")}, "id: 1\n\n", 1, false},
-		{"a stream, it can't be reached, exited in order", "/single/", false, serve.PresenceUnknown, soon, []step{unframed(true, "id: 1\n\n")}, "id: 1\n\n", 1, true},
+		{"a stream, it can't be reached, its entry is removed", "/single/", false, serve.PresenceUnknown, soon, []step{unframed(true, "id: 1\n\n")}, "id: 1\n\n", 1, false},
 		{"a stream, it can't be reached", "/single/", false, serve.PresenceUnknown, 0, []step{unframed(true, "id: 1\n\n")}, "id: 1\n\n", 1, false},
 		{"a stream, it can't be reached and doesn't leave", "/single/", false, serve.PresenceUnknown, 0, []step{unframed(false, "id: 1\n\n")}, "id: 1\n\n", 1, false},
 		{"a stream, it still runs", "/single/", false, serve.Present, 0, []step{unframed(true, "id: 1\n\n")}, "id: 1\n\n", 1, true},
-		{"a stream that began before it left", "/single/", true, serve.Gone, soon, []step{unframed(false, "id: 1\n\n")}, "id: 1\n\n", 1, true},
+		{"a stream that began before it left", "/single/", true, serve.Gone, soon, []step{unframed(false, "id: 1\n\n")}, "id: 1\n\n", 1, false},
+		{"a stream that began before it left, it still runs", "/single/", true, serve.Present, 0, []step{unframed(false, "id: 1\n\n")}, "id: 1\n\n", 1, true},
 		{"a stream that may be resumed", "/stream/", false, serve.Gone, soon, []step{unframed(true, "id: 1\n\n"), answer()}, "id: 1\n\n", 2, true},
-		{"a body", "/once/", false, serve.Gone, soon, []step{unframed(true, "hello")}, "hello", 1, true},
+		{"a body, its entry is removed", "/once/", false, serve.Gone, soon, []step{unframed(true, "hello")}, "", 1, false},
+		{"a body, it still runs", "/once/", false, serve.Present, 0, []step{unframed(true, "hello")}, "hello", 1, true},
 		{"a body, its entry stays", "/once/", false, serve.Gone, 0, []step{unframed(true, "hello")}, "", 1, false},
 		{"a body of an idempotent request", "/again/", false, serve.Gone, soon, []step{unframed(true, "hel"), answer("hello")}, "hello", 2, true},
-		{"a body of the last attempt", "/again/", false, serve.Gone, soon, []step{broken, unframed(true, "hello")}, "hello", 2, true},
+		{"a body of the last attempt", "/again/", false, serve.Gone, soon, []step{broken, unframed(true, "hello")}, "", 2, false},
+		{"a body of the last attempt, it still runs", "/again/", false, serve.Present, 0, []step{broken, unframed(true, "hello")}, "hello", 2, true},
 		{"a body of the last attempt, its entry stays", "/again/", false, serve.Gone, 0, []step{broken, unframed(true, "hello")}, "", 2, false},
 	}
 	for _, tt := range tests {
