gateway/serve: ask the process that sent an unframed answer whether it runs

Cause: an answer without a length is whole if its process still runs when the connection ends. Any process that accepts a connection passed for that one, unless a connection that had been idle within the last second had ended since; and an idle connection that still seemed open did, too, though behind a cut its end may arrive after that of the answer.

Now a process must answer a question after the end of the answer: with the start time of the listing, or, if it names none, over a connection opened before the request was sent or within half a second after it. A gateway opens such a connection as the head of an unframed answer arrives.

--- a/adapter/pool/pool.go
+++ b/adapter/pool/pool.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -35,8 +36,9 @@
 	maxIdlePerTarget = 8                      // from one pool to one target; small, since the idle connections of all gateways add up at a target
 	userTimeoutMS    = 1500                   // TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged
 	readBufferBytes  = 4 << 10
-	maxLatestBytes   = 256  // of the ID that a connection remembers for logs; callers choose it
-	maxRequests      = 1000 // on one connection; bounds what it remembers of them to 8 kB
+	maxLatestBytes   = 256                   // of the ID that a connection remembers for logs; callers choose it
+	closeWait        = 20 * time.Millisecond // by then a proxy has closed a connection to no process
+	maxRequests      = 1000                  // on one connection; bounds what it remembers of them to 8 kB
 )
 
 // Pool keeps idle connections by address.
@@ -80,10 +82,10 @@
 	raw       *upstream.Conn
 	limited   *limitedReader // reads raw
 	reader    *bufio.Reader  // reads limited
-	expiresAt time.Time      // when the pool stops reusing the connection
-	idleSince time.Time
-	carried   []uint64 // hashes of the IDs of the requests that it carried
-	latest    string   // ID of the latest of them, at most maxLatestBytes; empty if it had none
+	openedAt  time.Time
+	expiresAt time.Time // when the pool stops reusing the connection
+	carried   []uint64  // hashes of the IDs of the requests that it carried
+	latest    string    // ID of the latest of them, at most maxLatestBytes; empty if it had none
 }
 
 // Carry records that the connection carries a request from now on. It returns how many
@@ -97,6 +99,9 @@
 // Name identifies the connection in logs: its local address.
 func (c *Conn) Name() string { return c.raw.LocalAddr().String() }
 
+// Age returns how long the connection has been open.
+func (c *Conn) Age() time.Duration { return time.Since(c.openedAt) }
+
 // Get returns an idle connection or a new one for a request with an ID. A connection never
 // carries two requests with one ID, or another request beside one without an ID: a late copy
 // of the answer to the first could not be told from the answer to the second. An error means
@@ -108,15 +113,15 @@
 		}
 		_ = c.raw.Close()
 	}
-	c, err := p.dial(ctx, address)
+	c, err := p.Dial(ctx, address)
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "the target at %s can't be reached; check that it runs", address)
 	}
 	return c, nil
 }
 
-// dial returns a new connection.
-func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
+// Dial returns a new connection.
+func (p *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: p.local, Control: setUserTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -125,7 +130,7 @@
 	socket.LimitBuffers(conn) // a target may send without end what nobody reads
 	raw := upstream.NewConn(conn)
 	limited := &limitedReader{source: raw}
-	return &Conn{pool: p, address: address, raw: raw, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}, nil
+	return &Conn{pool: p, address: address, raw: raw, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), openedAt: time.Now()}, nil
 }
 
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
@@ -168,8 +173,7 @@
 	if keepAlive, found := keepAliveTimeout(head); found {
 		timeout = keepAlive - idleMargin
 	}
-	c.idleSince = time.Now()
-	c.expiresAt = c.idleSince.Add(timeout)
+	c.expiresAt = time.Now().Add(timeout)
 	p := c.pool
 	p.mu.Lock()
 	keep := !p.closed && timeout > 0 && len(p.idle[c.address]) < maxIdlePerTarget &&
@@ -238,6 +242,15 @@
 	return response, err
 }
 
+// ClosesAtOnce waits for a moment and reports whether the target has closed or reset a new connection,
+// as a proxy does that accepts connections for a process that doesn't run.
+func (c *Conn) ClosesAtOnce() bool {
+	_ = c.raw.SetReadDeadline(time.Now().Add(closeWait))
+	_, err := c.reader.Peek(1)
+	_ = c.raw.SetReadDeadline(time.Time{})
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // isIdle reports whether the connection is open and has no unread bytes.
 func (c *Conn) isIdle() bool {
 	if c.reader.Buffered() > 0 {
--- a/gateway/peers/world_test.go
+++ b/gateway/peers/world_test.go
@@ -333,14 +333,15 @@
 	return emptyReply{}, nil
 }
 
-// Presence implements serve.Targets.
-func (worldTarget) Presence(context.Context, string, int64) serve.Presence { return serve.Present }
+// Ask implements serve.Targets.
+func (worldTarget) Ask(context.Context, string) serve.Sign { return serve.Sign{Reach: serve.Answered} }
 
 type emptyReply struct{}
 
-func (emptyReply) Head() serve.Head         { return serve.Head{Status: 200, Signed: true} }
-func (emptyReply) Read([]byte) (int, error) { return 0, io.EOF }
-func (emptyReply) Close()                   {}
+func (emptyReply) Head() serve.Head               { return serve.Head{Status: 200, Signed: true} }
+func (emptyReply) Read([]byte) (int, error)       { return 0, io.EOF }
+func (emptyReply) Ask(context.Context) serve.Sign { return serve.Sign{Reach: serve.Answered} }
+func (emptyReply) Close()                         {}
 
 type discardWriter struct{}
 
--- a/gateway/serve/crash_test.go
+++ b/gateway/serve/crash_test.go
@@ -1,7 +1,6 @@
 package serve_test
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -13,12 +12,6 @@
 	"hornbeamtray/gateway/serve"
 )
 
-// crashedTargets are scripted targets of which a process that closed a connection is gone.
-type crashedTargets struct{ scriptedTargets }
-
-// Presence implements serve.Targets.
-func (t *crashedTargets) Presence(context.Context, string, int64) serve.Presence { return serve.Gone }
-
 // TestRepeatOfCrash guards against a gateway that carries a request that crashed a target
 // on to the next one.
 func TestRepeatOfCrash(t *testing.T) {
@@ -47,12 +40,11 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				fake := &crashedTargets{scriptedTargets{script: []step{answer("id: 1\n\n", "id: 2\n\n"), tt.first, answer("id: 3\n\n")}}}
-				var targets serve.Targets = fake
-				if !tt.gone {
-					targets = &fake.scriptedTargets
+				fake := &scriptedTargets{script: []step{answer("id: 1\n\n", "id: 2\n\n"), tt.first, answer("id: 3\n\n")}}
+				if tt.gone {
+					fake.sign = serve.Sign{Reach: serve.Refused}
 				}
-				service := serve.New(newState(), targets, discard{}, discard{})
+				service := serve.New(newState(), fake, discard{}, discard{})
 				defer service.Close()
 				request := serve.Request{ID: "r", Host: "h", Path: "/stream/", Key: "k", Parts: []string{"proven"}}
 				service.Serve(t.Context(), request, &caller{})
--- a/gateway/serve/port.go
+++ b/gateway/serve/port.go
@@ -80,6 +80,9 @@
 	Head() Head
 	// Read reads the body. It returns io.EOF only after a complete body.
 	Read(p []byte) (int, error)
+	// Ask does what Targets.Ask does for the target of the answer. If the answer is unframed, the
+	// connection of the sign may have been opened as the head of the answer arrived.
+	Ask(ctx context.Context) Sign
 	// Close returns the connection to its pool, or closes it if the answer was not
 	// read to the end.
 	Close()
@@ -89,21 +92,28 @@
 type Targets interface {
 	// Send sends a call once and returns when the head of the answer has arrived.
 	Send(ctx context.Context, call Call) (Reply, error)
-	// Presence reports whether the process of a target still runs, from its connections and
-	// its start time in Unix milliseconds; 0 if that is not known. It sends no request of a caller.
-	Presence(ctx context.Context, address string, startUnixMilli int64) Presence
+	// Ask asks the process that listens at an address for a sign of life. It sends no request of
+	// a caller.
+	Ask(ctx context.Context, address string) Sign
 }
 
-// Presence is what is known of a target's process.
-type Presence int
+// Reach is how far a question got.
+type Reach int
 
-// The values of Presence.
+// The values of Reach.
 const (
-	PresenceUnknown Presence = iota // the target can't be reached, or a process runs that may be another
-	Present                         // the process runs
-	Gone                            // the process has ended; another may run at its address
+	Unreached Reach = iota // no process answered; one may run
+	Refused                // no process accepts connections, or they are closed at once
+	Answered               // a process answered
 )
 
+// Sign is what a process at the address of a target showed of itself when it was asked.
+type Sign struct {
+	Reach          Reach
+	Age            time.Duration // Age is how long the connection of the answer has been open.
+	StartUnixMilli int64         // StartUnixMilli is the start time of the process that answered, or 0 if it named none.
+}
+
 // Writer writes an answer to a caller. An error means that the caller has
 // disconnected or has stopped reading.
 type Writer interface {
--- a/gateway/serve/reader_test.go
+++ b/gateway/serve/reader_test.go
@@ -31,9 +31,9 @@
 	return &endlessReply{ctx: ctx, source: e}, nil
 }
 
-// Presence reports the target as running.
-func (e *endlessTargets) Presence(context.Context, string, int64) serve.Presence {
-	return serve.Present
+// Ask reports the target as running.
+func (e *endlessTargets) Ask(context.Context, string) serve.Sign {
+	return serve.Sign{Reach: serve.Answered}
 }
 
 type endlessReply struct {
@@ -44,7 +44,8 @@
 func (r *endlessReply) Head() serve.Head {
 	return serve.Head{Status: 200, Signed: true, Length: -1}
 }
-func (r *endlessReply) Close() {}
+func (r *endlessReply) Close()                             {}
+func (r *endlessReply) Ask(ctx context.Context) serve.Sign { return r.source.Ask(ctx, "") }
 func (r *endlessReply) Read(p []byte) (int, error) {
 	if r.ctx.Err() != nil {
 		return 0, r.ctx.Err()
--- a/gateway/serve/request.go
+++ b/gateway/serve/request.go
@@ -283,16 +283,17 @@
 	}
 	defer reply.Close()
 	d.service.recordResponse(d.target.ID)
-	return d.receive(reply, wd)
+	return d.receive(ctx, reply, wd)
 }
 
 // receive handles the answer of the current attempt, of which the head has arrived.
-func (d *delivery) receive(reply Reply, wd *watchdog) (retry.Attempt, bool) {
+func (d *delivery) receive(ctx context.Context, reply Reply, wd *watchdog) (retry.Attempt, bool) {
 	d.headReceived = true
 	head := reply.Head()
 	d.service.recordStatements(d.target, head)
 	if head.Unframed {
-		reply = unframedReply{Reply: reply, prove: func() error { return d.proveEnd(head) }}
+		answer := reply
+		reply = unframedReply{Reply: answer, prove: func() error { return d.proveEnd(ctx, answer) }}
 	}
 	switch {
 	case head.NotRun:
--- a/gateway/serve/serve_test.go
+++ b/gateway/serve/serve_test.go
@@ -47,6 +47,7 @@
 	onSend func() // called by Send
 
 	sending func() serve.Sending // describes how each call is sent; nil for no description
+	sign    serve.Sign           // of all targets; the zero value means that they still run
 }
 
 func (t *scriptedTargets) Send(ctx context.Context, call serve.Call) (serve.Reply, error) {
@@ -69,12 +70,15 @@
 		return nil, next.err
 	}
 	next.parts = slices.Clone(next.parts) // Read changes them
-	return &reply{ctx: ctx, step: next}, nil
+	return &reply{ctx: ctx, step: next, targets: t}, nil
 }
 
-// Presence reports a target as running: the scripts break single connections.
-func (t *scriptedTargets) Presence(context.Context, string, int64) serve.Presence {
-	return serve.Present
+// Ask implements serve.Targets. By default, targets still run: the scripts break single connections.
+func (t *scriptedTargets) Ask(context.Context, string) serve.Sign {
+	if t.sign == (serve.Sign{}) {
+		return serve.Sign{Reach: serve.Answered, Age: time.Hour}
+	}
+	return t.sign
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
@@ -90,12 +94,14 @@
 }
 
 type reply struct {
-	ctx  context.Context
-	step step
+	ctx     context.Context
+	step    step
+	targets *scriptedTargets
 }
 
-func (r *reply) Head() serve.Head { return r.step.head }
-func (r *reply) Close()           {}
+func (r *reply) Head() serve.Head                   { return r.step.head }
+func (r *reply) Close()                             {}
+func (r *reply) Ask(ctx context.Context) serve.Sign { return r.targets.Ask(ctx, "") }
 func (r *reply) Read(p []byte) (int, error) {
 	if len(r.step.parts) == 0 {
 		if r.step.breaksOff {
@@ -153,6 +159,7 @@
 	return route.NewBook(5,
 		route.WithRoutes(
 			route.Route{Name: "once", Host: "h", Prefix: "/once/", Kind: route.AtMostOnce, Timeout: 600 * time.Millisecond, Attempts: 2, Shares: shares},
+			route.Route{Name: "long", Host: "h", Prefix: "/long/", Kind: route.AtMostOnce, Timeout: 8 * time.Second, Attempts: 2, Shares: shares},
 			route.Route{Name: "again", Host: "h", Prefix: "/again/", Kind: route.Idempotent, Timeout: 600 * time.Millisecond, Attempts: 2, Shares: shares},
 			route.Route{Name: "stream", Host: "h", Prefix: "/stream/", Kind: route.Stream, Resumable: true, Timeout: 8 * time.Second, Attempts: 2, Shares: shares},
 			route.Route{Name: "single", Host: "h", Prefix: "/single/", Kind: route.Stream, Timeout: 8 * time.Second, Attempts: 2, Shares: shares},
--- a/gateway/serve/service.go
+++ b/gateway/serve/service.go
@@ -23,7 +23,7 @@
 	"hornbeamtray/core/route"
 )
 
-const presenceTimeout = 200 * time.Millisecond // a refused connection takes one round trip
+const presenceTimeout = 200 * time.Millisecond // an answer takes two round trips
 
 // Service handles the requests of callers.
 type Service struct {
@@ -299,7 +299,9 @@
 	if len(parts) == 0 || progress >= quarantine.UnderWay {
 		return
 	}
-	if s.presence(target) != Gone {
+	ctx, cancel := context.WithTimeout(s.abortContext, presenceTimeout)
+	defer cancel()
+	if s.targets.Ask(ctx, target.Address).presence(target.StartUnixMilli, longAgo) != gone {
 		return
 	}
 	s.meter.Inc("crashes", "suspected")
@@ -310,13 +312,6 @@
 	})
 }
 
-// presence returns whether the process of a target still runs.
-func (s *Service) presence(target roster.Target) Presence {
-	ctx, cancel := context.WithTimeout(s.abortContext, presenceTimeout)
-	defer cancel()
-	return s.targets.Presence(ctx, target.Address, target.StartUnixMilli)
-}
-
 // recordReplaced records that another process answered at a target's address.
 func (s *Service) recordReplaced(target string) {
 	s.Change(func(state dispatch.State, now time.Time) dispatch.State { return state.WithReplaced(target, now) })
--- a/gateway/serve/unframed.go
+++ b/gateway/serve/unframed.go
@@ -1,9 +1,23 @@
 package serve
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
+	"math"
+	"time"
+)
+
+const (
+	lastPresenceTimeout = time.Second // if no other attempt can follow, the answer is lost without a proof
+
+	// replacementTime is what a process that crashes and the next one at its address take together
+	// at least. A connection that was opened within it after a request was sent leads to the
+	// process that got the request.
+	replacementTime = 500 * time.Millisecond
+
+	longAgo = time.Duration(math.MaxInt64)
 )
 
 var (
@@ -33,16 +47,51 @@
 }
 
 // proveEnd returns an error unless an unframed answer of the current attempt, which has
-// ended, is whole: its target still runs. That a target left, as it said it would, is no
-// proof: one that must be gone by a fixed time leaves in the middle of its answers.
-func (d *delivery) proveEnd(head Head) error {
-	switch d.service.presence(d.target) {
-	case Present:
+// ended, is whole: the process that sent it still runs. That a target left, as it said it would,
+// is no proof: one that must be gone by a fixed time leaves in the middle of its answers.
+func (d *delivery) proveEnd(ctx context.Context, reply Reply) error {
+	timeout := presenceTimeout
+	if !d.admission.Route.Repeatable() || !d.mayRetry() {
+		timeout = lastPresenceTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	switch reply.Ask(ctx).presence(d.target.StartUnixMilli, d.sinceSend()) {
+	case present:
 		return nil
-	case Gone:
-		if !head.Leaving && !d.service.State().Departing(d.target) {
+	case gone:
+		if !reply.Head().Leaving && !d.service.State().Departing(d.target) {
 			return errCrashedAtEnd
 		}
 	}
 	return errUnprovenEnd
 }
+
+// presence is what is known of a target's process.
+type presence int
+
+// The values of presence.
+const (
+	presenceUnknown presence = iota // it can't be reached, or a process runs that may be another
+	present                         // the process runs
+	gone                            // the process has ended; another may run at its address
+)
+
+// presence returns what the sign says of a process that started at startUnixMilli, 0 if that is
+// not known, and got a request that was sent sentAgo.
+func (s Sign) presence(startUnixMilli int64, sentAgo time.Duration) presence {
+	switch {
+	case s.Reach == Refused:
+		return gone
+	case s.Reach != Answered:
+		return presenceUnknown
+	case s.StartUnixMilli != 0 && startUnixMilli != 0:
+		if s.StartUnixMilli == startUnixMilli {
+			return present
+		}
+		return gone
+	case s.Age > sentAgo-replacementTime:
+		return present
+	}
+	return presenceUnknown
+}
--- a/gateway/serve/unframed_test.go
+++ b/gateway/serve/unframed_test.go
@@ -12,6 +12,7 @@
 	"hornbeamtray/core/dispatch"
 	"hornbeamtray/core/refusal"
 	"hornbeamtray/core/roster"
+	"hornbeamtray/core/route"
 	"hornbeamtray/gateway/serve"
 )
 
@@ -52,12 +53,11 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				fake := &crashedTargets{scriptedTargets{script: tt.answers}}
-				var targets serve.Targets = fake
-				if !tt.gone {
-					targets = &fake.scriptedTargets
+				fake := &scriptedTargets{script: tt.answers}
+				if tt.gone {
+					fake.sign = serve.Sign{Reach: serve.Refused}
 				}
-				service := serve.New(newState(), targets, discard{}, discard{})
+				service := serve.New(newState(), fake, discard{}, discard{})
 				defer service.Close()
 				var c caller
 				outcome := service.Serve(t.Context(), serve.Request{ID: "r", Host: "h", Path: tt.path, Key: "k"}, &c)
@@ -77,9 +77,8 @@
 type leavingTargets struct {
 	scriptedTargets
 
-	presence serve.Presence
-	service  *serve.Service
-	removed  time.Duration // 0 for never
+	service *serve.Service
+	removed time.Duration // 0 for never
 }
 
 // Send implements serve.Targets.
@@ -94,9 +93,6 @@
 	return l.scriptedTargets.Send(ctx, call)
 }
 
-// Presence implements serve.Targets.
-func (l *leavingTargets) Presence(context.Context, string, int64) serve.Presence { return l.presence }
-
 // TestLastAnswerOfLeavingTarget guards against an answer that ends with its connection and is
 // taken for whole without evidence as its target exits, or for broken off though it still runs.
 // That its entry is removed at that moment is none: one that must be gone by a fixed time may
@@ -109,39 +105,40 @@
 		return s
 	}
 	broken := step{err: errors.New("connection reset")}
+	gone, unreached, runs := serve.Sign{Reach: serve.Refused}, serve.Sign{Age: time.Hour}, serve.Sign{Reach: serve.Answered, Age: time.Hour}
 	const soon, late = 100 * time.Millisecond, 5 * time.Second
 	tests := []struct {
-		name     string
-		path     string
-		listed   bool // the platform lists all targets as leaving
-		presence serve.Presence
-		removed  time.Duration
-		answers  []step
-		body     string
-		calls    int
-		whole    bool
+		name    string
+		path    string
+		listed  bool // the platform lists all targets as leaving
+		sign    serve.Sign
+		removed time.Duration
+		answers []step
+		body    string
+		calls   int
+		whole   bool
 	}{
-		{"a stream, its entry is removed", "/single/", false, serve.Gone, soon, []step{unframed(true, "id: 1\n\n")}, "id: 1\n\n", 1, false},
-		{"a stream, its entry stays", "/single/", false, serve.Gone, late, []step{unframed(true, "id: 1\n\n")}, "id: 1\n\n", 1, false},
-		{"a stream, it can't be reached, its entry is removed", "/single/", false, serve.PresenceUnknown, soon, []step{unframed(true, "id: 1\n\n")}, "id: 1\n\n", 1, false},
-		{"a stream, it can't be reached", "/single/", false, serve.PresenceUnknown, 0, []step{unframed(true, "id: 1\n\n")}, "id: 1\n\n", 1, false},
-		{"a stream, it can't be reached and doesn't leave", "/single/", false, serve.PresenceUnknown, 0, []step{unframed(false, "id: 1\n\n")}, "id: 1\n\n", 1, false},
-		{"a stream, it still runs", "/single/", false, serve.Present, 0, []step{unframed(true, "id: 1\n\n")}, "id: 1\n\n", 1, true},
-		{"a stream that began before it left", "/single/", true, serve.Gone, soon, []step{unframed(false, "id: 1\n\n")}, "id: 1\n\n", 1, false},
-		{"a stream that began before it left, it still runs", "/single/", true, serve.Present, 0, []step{unframed(false, "id: 1\n\n")}, "id: 1\n\n", 1, true},
-		{"a stream that may be resumed", "/stream/", false, serve.Gone, soon, []step{unframed(true, "id: 1\n\n"), answer()}, "id: 1\n\n", 2, true},
-		{"a body, its entry is removed", "/once/", false, serve.Gone, soon, []step{unframed(true, "hello")}, "", 1, false},
-		{"a body, it still runs", "/once/", false, serve.Present, 0, []step{unframed(true, "hello")}, "hello", 1, true},
-		{"a body, its entry stays", "/once/", false, serve.Gone, 0, []step{unframed(true, "hello")}, "", 1, false},
-		{"a body of an idempotent request", "/again/", false, serve.Gone, soon, []step{unframed(true, "hel"), answer("hello")}, "hello", 2, true},
-		{"a body of the last attempt", "/again/", false, serve.Gone, soon, []step{broken, unframed(true, "hello")}, "", 2, false},
-		{"a body of the last attempt, it still runs", "/again/", false, serve.Present, 0, []step{broken, unframed(true, "hello")}, "hello", 2, true},
-		{"a body of the last attempt, its entry stays", "/again/", false, serve.Gone, 0, []step{broken, unframed(true, "hello")}, "", 2, false},
+		{"a stream, its entry is removed", "/single/", false, gone, soon, []step{unframed(true, "id: 1\n\n")}, "id: 1\n\n", 1, false},
+		{"a stream, its entry stays", "/single/", false, gone, late, []step{unframed(true, "id: 1\n\n")}, "id: 1\n\n", 1, false},
+		{"a stream, it can't be reached, its entry is removed", "/single/", false, unreached, soon, []step{unframed(true, "id: 1\n\n")}, "id: 1\n\n", 1, false},
+		{"a stream, it can't be reached", "/single/", false, unreached, 0, []step{unframed(true, "id: 1\n\n")}, "id: 1\n\n", 1, false},
+		{"a stream, it can't be reached and doesn't leave", "/single/", false, unreached, 0, []step{unframed(false, "id: 1\n\n")}, "id: 1\n\n", 1, false},
+		{"a stream, it still runs", "/single/", false, runs, 0, []step{unframed(true, "id: 1\n\n")}, "id: 1\n\n", 1, true},
+		{"a stream that began before it left", "/single/", true, gone, soon, []step{unframed(false, "id: 1\n\n")}, "id: 1\n\n", 1, false},
+		{"a stream that began before it left, it still runs", "/single/", true, runs, 0, []step{unframed(false, "id: 1\n\n")}, "id: 1\n\n", 1, true},
+		{"a stream that may be resumed", "/stream/", false, gone, soon, []step{unframed(true, "id: 1\n\n"), answer()}, "id: 1\n\n", 2, true},
+		{"a body, its entry is removed", "/once/", false, gone, soon, []step{unframed(true, "hello")}, "", 1, false},
+		{"a body, it still runs", "/once/", false, runs, 0, []step{unframed(true, "hello")}, "hello", 1, true},
+		{"a body, its entry stays", "/once/", false, gone, 0, []step{unframed(true, "hello")}, "", 1, false},
+		{"a body of an idempotent request", "/again/", false, gone, soon, []step{unframed(true, "hel"), answer("hello")}, "hello", 2, true},
+		{"a body of the last attempt", "/again/", false, gone, soon, []step{broken, unframed(true, "hello")}, "", 2, false},
+		{"a body of the last attempt, it still runs", "/again/", false, runs, 0, []step{broken, unframed(true, "hello")}, "hello", 2, true},
+		{"a body of the last attempt, its entry stays", "/again/", false, gone, 0, []step{broken, unframed(true, "hello")}, "", 2, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				fake := &leavingTargets{scriptedTargets: scriptedTargets{script: tt.answers}, presence: tt.presence, removed: tt.removed}
+				fake := &leavingTargets{scriptedTargets: scriptedTargets{script: tt.answers, sign: tt.sign}, removed: tt.removed}
 				fake.service = serve.New(newState(), fake, discard{}, discard{})
 				defer fake.service.Close()
 				fake.onSend = func() {
@@ -166,3 +163,52 @@
 		})
 	}
 }
+
+// TestProofOfEnd guards against half an answer that ends with its connection and is taken for
+// whole, though its target crashed and another process runs at its address: behind a cut, or
+// while the gateway was paused, that process may have been there for long.
+func TestProofOfEnd(t *testing.T) {
+	const took = 2 * time.Second // from the request to the end of the answer
+	tests := []struct {
+		name  string
+		start int64 // of the process that the platform lists; 0 for not known
+		sign  serve.Sign
+		whole bool
+	}{
+		{"the same process", 7, serve.Sign{Reach: serve.Answered, StartUnixMilli: 7}, true},
+		{"the same process over an old connection", 7, serve.Sign{Reach: serve.Answered, StartUnixMilli: 7, Age: time.Hour}, true},
+		{"another process", 7, serve.Sign{Reach: serve.Answered, StartUnixMilli: 8}, false},
+		{"another process over an old connection", 7, serve.Sign{Reach: serve.Answered, StartUnixMilli: 8, Age: time.Hour}, false},
+		{"a process without a start time", 7, serve.Sign{Reach: serve.Answered}, false},
+		{"a process that is not listed with a start time", 0, serve.Sign{Reach: serve.Answered, StartUnixMilli: 8}, false},
+		{"over a connection opened before the request", 7, serve.Sign{Reach: serve.Answered, Age: took + time.Second}, true},
+		{"over a connection opened as the answer began", 7, serve.Sign{Reach: serve.Answered, Age: took - 100*time.Millisecond}, true},
+		{"over a connection opened late", 7, serve.Sign{Reach: serve.Answered, Age: took - time.Second}, false},
+		{"no answer over an old connection", 7, serve.Sign{Reach: serve.Unreached, Age: time.Hour}, false},
+		{"no process", 7, serve.Sign{Reach: serve.Refused}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				body := answer("hello")
+				body.head.Unframed, body.partDelay = true, took
+				fake := &scriptedTargets{script: []step{body}, sign: tt.sign}
+				state := dispatch.New("g", "d", dispatch.Bounds{MaxStaleness: time.Minute}).WithUpdate(dispatch.Update{
+					Books:   []route.Book{routes()},
+					Targets: []roster.Target{{ID: "t0", Service: "s", Domain: "d", Slots: 4, Revision: 1, StartUnixMilli: tt.start}},
+					ReadAt:  time.Now(),
+				}, time.Now())
+				service := serve.New(state, fake, discard{}, discard{})
+				defer service.Close()
+				var c caller
+				outcome := service.Serve(t.Context(), serve.Request{ID: "r", Host: "h", Path: "/long/", Key: "k"}, &c)
+				if want := map[bool]string{true: "hello"}[tt.whole]; c.body.String() != want || (outcome.Refusal == nil) != tt.whole {
+					t.Errorf("the caller received %q with refusal %v, want %q, whole: %t", c.body.String(), outcome.Refusal, want, tt.whole)
+				}
+				if outcome.Refusal != nil && outcome.Refusal.Ran == refusal.No {
+					t.Errorf("refusal = %v, but the request ran", outcome.Refusal)
+				}
+			})
+		})
+	}
+}
