core/switching: undo a switch at the leader's rank first

No user saw it: in a group with few passes, ranks could begin a pass on different maps.

Cause: the guardian releases a held pass if a rank other than the leader's is not armed, since the leader's is armed last. A leader whose Arm to its own rank got no answer undid the switch at all ranks at once. If it was paused after the others were disarmed, and the late Arm was carried out, the guardian released a pass for which the leader's rank alone was armed.

Now the leader's rank must have accepted the higher version, after which a late Arm has no effect, before the others are disarmed.

--- a/core/switching/coordinator.go
+++ b/core/switching/coordinator.go
@@ -301,12 +301,7 @@
 	case Releasing:
 		return c, []Order{{Verb: Release, Rank: holder, Epoch: c.Epoch, Step: c.Step}}
 	case Undoing:
-		return c, c.ordersForRanks(statuses, func(s Status) (Order, bool) {
-			if s.Armed != 0 && !c.accepted[s.Rank] {
-				return Order{Verb: Disarm, Version: s.Armed}, true
-			}
-			return Order{Verb: Prepare, Version: c.undoVersion, Map: c.Current}, s.Prepared != c.undoVersion && !c.accepted[s.Rank]
-		})
+		return c, c.undoOrders(statuses)
 	}
 	return c, nil
 }
@@ -326,6 +321,22 @@
 	return orders
 }
 
+// undoOrders returns the orders to the ranks that have not accepted the higher version. The
+// leader's rank gets its orders first: while it may be armed, all others stay armed, by which the
+// guardian knows that it must not release the pass.
+func (c Coordinator) undoOrders(statuses Statuses) []Order {
+	orders := c.ordersForRanks(statuses, func(s Status) (Order, bool) {
+		if s.Armed != 0 && !c.accepted[s.Rank] {
+			return Order{Verb: Disarm, Version: s.Armed}, true
+		}
+		return Order{Verb: Prepare, Version: c.undoVersion, Map: c.Current}, s.Prepared != c.undoVersion && !c.accepted[s.Rank]
+	})
+	if len(orders) > 0 && orders[len(orders)-1].Rank == Leader {
+		return orders[len(orders)-1:]
+	}
+	return orders
+}
+
 // ordersForRanks calls order with the status of each rank and returns the orders for
 // which it reports true, with Rank and Epoch set.
 func (c Coordinator) ordersForRanks(statuses Statuses, order func(Status) (Order, bool)) []Order {
--- a/core/switching/values.go
+++ b/core/switching/values.go
@@ -28,8 +28,8 @@
 	// Disarm cancels an Arm. When a late Disarm arrives, the rank either isn't armed
 	// with its version or already uses it, since no version is armed again after its
 	// Disarm. One case is not excluded: a leader that restarts during Undoing finds
-	// all ranks armed and releases the pass, while a Disarm sent before the restart is
-	// still in flight.
+	// all ranks armed and releases the pass, while a Disarm of the leader's rank sent
+	// before the restart is still in flight.
 	Disarm Verb = "disarm"
 	// Hold keeps a pass from beginning. When a late Hold arrives, the pass has begun,
 	// or the steward beside the rank observes the held pass and resolves it; see
