core/switching: don't undo a switch for a late hold of an earlier pass

No user saw it: in a group with few passes, ranks could begin a pass on different maps.

Cause: if a pass is held while no switch is in progress, and the ranks are not armed for it, the switch is undone. A late Hold of an earlier switch could hold pass S while all ranks were armed for a later pass that was released. The guardian, whose leader was paused, then undid that switch at all ranks but the leader's.

Now such a pass is only released. Its own switch has ended, so no rank can be armed for it.

--- a/core/switching/resolve.go
+++ b/core/switching/resolve.go
@@ -45,10 +45,24 @@
 	case all:
 		c.Version = version
 		return c.enter(Releasing)
+	case c.armedLater(statuses):
+		return c.enter(Releasing)
 	}
 	return c.undo()
 }
 
+// armedLater reports whether a rank is armed for a pass after the held one. Its switch began after
+// that of the held pass had ended, and all ranks are armed for it: to undo it at some would divide
+// them. A late Hold holds the earlier pass, and no rank can be armed for that one any more.
+func (c Coordinator) armedLater(statuses Statuses) bool {
+	for _, rank := range c.ranks() {
+		if statuses[rank].ArmedStep > c.Step {
+			return true
+		}
+	}
+	return false
+}
+
 // commonArmedVersion returns the version that all ranks are armed with for the held
 // pass, or false if there is no such version.
 func (c Coordinator) commonArmedVersion(statuses Statuses) (uint64, bool) {
