agent/engine: believe the process that got a call, not the next one

Callers could get a part of an answer as whole from an agent that was paused while its target crashed and was started again.

Cause: an answer without a length counted as whole if the target's address accepted a connection after it had ended, whichever process listened there.

Now each call has an idle connection beside it, opened before the call is sent, which leads to the same process and ends with it. If the target closes it, another one is opened while the call's connection is still open.

--- a/adapter/upstream/conn.go
+++ b/adapter/upstream/conn.go
@@ -14,9 +14,11 @@
 	"golang.org/x/sys/unix"
 )
 
-// stateCloseWait is TCP_CLOSE_WAIT of Linux: the peer closed the connection, and did not reset
-// it since.
-const stateCloseWait = 8
+// States of a TCP connection on Linux.
+const (
+	stateEstablished = 1 // TCP_ESTABLISHED: neither side has closed the connection
+	stateCloseWait   = 8 // TCP_CLOSE_WAIT: the peer closed the connection, and did not reset it since
+)
 
 // Conn is a client's TCP connection whose Read returns io.EOF only if the peer closed the
 // connection, which may end a response, and never if the connection failed.
@@ -96,6 +98,9 @@
 	return c.writeFailure
 }
 
+// Established reports whether neither side has closed or reset the connection.
+func (c *Conn) Established() bool { return c.state() == stateEstablished }
+
 // state returns the state of the TCP connection in the kernel, or 0 if it is not known.
 func (c *Conn) state() uint8 {
 	socket, err := c.SyscallConn()
--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -58,6 +58,9 @@
 				return nil, &dialError{err}
 			}
 			socket.LimitBuffers(conn)
+			if w, ok := ctx.Value(witnessKey{}).(*witness); ok {
+				w.open(conn, func(ctx context.Context) (net.Conn, error) { return dialer.DialContext(ctx, network, address) })
+			}
 			return conn, nil
 		},
 		DisableCompression: true,
@@ -75,6 +78,9 @@
 // Run makes one call and writes its answer to sink. The error wraps
 // serve.ErrNotSent if no byte of the call was sent.
 func (c *Client) Run(ctx context.Context, call serve.Call, sink serve.Sink) error {
+	w := &witness{}
+	defer w.Close()
+	ctx = context.WithValue(ctx, witnessKey{}, w)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url+"/"+call.Name, bytes.NewReader(call.Body))
 	if err != nil {
 		return trace.Wrap(serve.ErrNotSent, "%s", err)
@@ -103,23 +109,12 @@
 	if err := copyAnswer(ctx, response.Body, sink); err != nil {
 		return err
 	}
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !c.isRunning(ctx, request.URL.Host) {
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !w.stands() {
 		return trace.ConnectionProblem(nil, "the answer ended with its connection, and nothing shows that the target still runs")
 	}
 	return nil
 }
 
-// isRunning reports whether the target accepts a new connection. A target that crashes ends
-// its connections, and with them an answer that has no end of its own.
-func (c *Client) isRunning(ctx context.Context, address string) bool {
-	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return false
-	}
-	_ = conn.Close()
-	return true
-}
-
 func copyAnswer(ctx context.Context, body io.Reader, sink serve.Sink) error {
 	buffer := make([]byte, readBufferBytes)
 	for {
