--- a/agent/serve/run_test.go
+++ b/agent/serve/run_test.go
@@ -90,17 +90,21 @@
 }
 
 // changingEngine answers its calls with the given statuses. The first answer is longer than the
-// agent buffers, the others have one part.
+// agent buffers, the others have one part or none.
 type changingEngine struct {
 	statuses []int
+	more     string // of the other answers
 	calls    atomic.Int64
 }
 
 func (e *changingEngine) Run(ctx context.Context, _ serve.Call, sink serve.Sink) error {
 	call := int(e.calls.Add(1))
 	sink.Begin(answer.Head{Status: e.statuses[call-1]})
+	if call > 1 && e.more == "" {
+		return nil
+	}
 	if call > 1 {
-		return sink.Write(ctx, []byte("more"))
+		return sink.Write(ctx, []byte(e.more))
 	}
 	for range longAnswer >> 10 {
 		if err := sink.Write(ctx, make([]byte, 1<<10)); err != nil {
@@ -120,19 +124,21 @@
 	tests := []struct {
 		name     string
 		statuses []int
+		more     string
 		calls    int64
 		whole    bool
 	}{
-		{"a success that goes on", []int{200, 200}, 2, true},
-		{"a success, then a failure", []int{200, 500}, 2, false},
-		{"a success, then not found", []int{200, 404}, 2, false},
-		{"a failure", []int{500, 500}, 1, true},
-		{"a failure, then a success", []int{500, 200}, 1, true},
+		{"a success that goes on", []int{200, 200}, "more", 2, true},
+		{"a success, then a failure", []int{200, 500}, "more", 2, false},
+		{"a success, then a failure without a body", []int{200, 500}, "", 2, false},
+		{"a success, then not found", []int{200, 404}, "more", 2, false},
+		{"a failure", []int{500, 500}, "more", 1, true},
+		{"a failure, then a success", []int{500, 200}, "more", 1, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				engine := &changingEngine{statuses: tt.statuses}
+				engine := &changingEngine{statuses: tt.statuses, more: tt.more}
 				reader := blockedAnswer(t, engine)
 				var data []byte
 				for {
