--- a/gateway/serve/unframed.go
+++ b/gateway/serve/unframed.go
@@ -17,7 +17,7 @@
 	// process that got the request.
 	replacementTime = 500 * time.Millisecond
 
-	longAgo = time.Duration(math.MaxInt64)
+	longAgo = time.Duration(math.MaxInt64) // before any connection was opened, so that only a start time identifies a process
 )
 
 var (
