core/switching: in a new epoch, no pass was held by others

A leader whose group formed anew held its first pass beyond all that another leader might have held, as if it knew nothing of them: up to 16 passes on map 0 more than needed.

Cause: a coordinator took over what its predecessor knew only within an epoch. A process that led in an earlier epoch is the only one that can lead in the next, and nothing is held when that begins.

--- a/core/switching/spent.go
+++ b/core/switching/spent.go
@@ -9,10 +9,14 @@
 const maxReach = 16
 
 // WithPredecessor returns a new coordinator of the leader with what the one before it, of the same
-// group and process, knew of the passes that were held.
+// group and process, knew of the passes that were held. In a later epoch than that one's, none
+// was: no other process has led in it.
 func (c Coordinator) WithPredecessor(before Coordinator) Coordinator {
-	if before.Epoch == c.Epoch && before.Size == c.Size {
+	switch {
+	case before.Epoch == c.Epoch && before.Size == c.Size:
 		c.spent = max(before.spent, before.Step, c.Step)
+	case before.Epoch != 0 && before.Epoch < c.Epoch:
+		c.spent = 0
 	}
 	return c
 }
