--- a/core/switching/spent.go
+++ b/core/switching/spent.go
@@ -6,7 +6,7 @@
 
 // maxReach bounds how many passes after the last one that began a held pass is. So a leader that
 // knows nothing of those before it knows which passes may be spent.
-const maxReach = 16
+const maxReach = 8
 
 // WithPredecessor returns a new coordinator of the leader with what the one before it, of the same
 // group and process, knew of the passes that were held. In a later epoch than that one's, none
