agent/engine: wait before a witness is replaced; KNOWN-RED: TestScripts/domain

TestUnframedAnswer, "the target crashed while its answer was read, another process runs": the target's connections end one by one, the witness before the call, and a witness that had stood for long was replaced at once, by one to the next process, while the call's connection was still open.

TestScripts/domain: one request of 300 at a frozen entry instance was refused as not run.

--- a/agent/engine/witness.go
+++ b/agent/engine/witness.go
@@ -13,7 +13,7 @@
 
 const (
 	witnessTimeout  = 50 * time.Millisecond  // for opening a witness; the target is on the same instance
-	witnessInterval = 100 * time.Millisecond // between attempts to open one
+	witnessInterval = 100 * time.Millisecond // from the end of a witness to the next, so that a process that ended has closed the call, too
 	closeWait       = 20 * time.Millisecond  // by then all connections of a process that ended are closed
 )
 
@@ -59,10 +59,9 @@
 // run replaces the witness when it ends, until the connection of the call ends.
 func (w *witness) run() error {
 	for {
-		began := time.Now()
 		w.await()
 		select {
-		case <-time.After(witnessInterval - time.Since(began)):
+		case <-time.After(witnessInterval):
 		case <-w.tomb.Dying():
 			return nil
 		}
