upstreamtest: close idle connections and refuse new ones, for tests of restarted targets

Three tests had servers of their own that kept their connections, and goroutines that nobody waited for: TestUnframedAnswer, TestWitness and TestAnswerOfRestartedTarget.

--- a/adapter/upstream/upstreamtest/server.go
+++ b/adapter/upstream/upstreamtest/server.go
@@ -81,6 +81,20 @@
 // Connections returns how many connections were opened.
 func (s *Server) Connections() int64 { return s.connections.Load() }
 
+// Refuse makes the server refuse new connections.
+func (s *Server) Refuse() { _ = s.listener.Close() }
+
+// CloseOthers closes all open connections but one.
+func (s *Server) CloseOthers(conn *net.TCPConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for other := range s.open {
+		if other != conn {
+			_ = other.Close()
+		}
+	}
+}
+
 // Close closes all connections and waits until their handlers have returned.
 func (s *Server) Close() error {
 	s.mu.Lock()
