--- a/core/switching/spent.go
+++ b/core/switching/spent.go
@@ -31,12 +31,3 @@
 func (c Coordinator) stepToHold(holder Status) uint64 {
 	return max(holder.Step+c.Ahead, c.spent+1)
 }
-
-// lastStep returns the last pass that began, as far as the statuses tell.
-func (s Statuses) lastStep() uint64 {
-	last := uint64(0)
-	for _, status := range s {
-		last = max(last, status.Step)
-	}
-	return last
-}
--- a/core/switching/values.go
+++ b/core/switching/values.go
@@ -92,3 +92,12 @@
 	}
 	return highest
 }
+
+// lastStep returns the last pass that began, as far as the statuses tell.
+func (s Statuses) lastStep() uint64 {
+	last := uint64(0)
+	for _, status := range s {
+		last = max(last, status.Step)
+	}
+	return last
+}
--- a/gateway/serve/crash_test.go
+++ b/gateway/serve/crash_test.go
@@ -21,29 +21,28 @@
 	started.parts = []string{"id: 1\n\n"}
 	underWay := begun
 	underWay.parts = []string{"id: 1\n\n", "id: 2\n\n"}
+	gone, runs, replaced := serve.Sign{Reach: serve.Refused}, serve.Sign{Reach: serve.Answered, StartUnixMilli: 7}, serve.Sign{Reach: serve.Answered, StartUnixMilli: 8}
 	tests := []struct {
 		name  string
 		parts []string
-		gone  bool
+		sign  serve.Sign // of the process at the target's address
 		first step
 		calls int
 	}{
-		{"as the answer began", []string{"dead"}, true, begun, 1},
-		{"as the answer began, the target still runs", []string{"dead"}, false, begun, 2},
-		{"as the answer began, no shared part", nil, true, begun, 1},
-		{"as the answer began, the parts are proven", []string{"proven"}, true, begun, 1},
-		{"as the answer began, the parts are proven, the target still runs", []string{"proven"}, false, begun, 2},
-		{"nothing of the answer", []string{"dead"}, true, step{err: closed}, 2},
-		{"after the first event", []string{"dead"}, true, started, 2},
-		{"later in the answer", []string{"dead"}, true, underWay, 2},
+		{"as the answer began", []string{"dead"}, gone, begun, 1},
+		{"as the answer began, the target still runs", []string{"dead"}, runs, begun, 2},
+		{"as the answer began, no shared part", nil, gone, begun, 1},
+		{"as the answer began, the parts are proven", []string{"proven"}, gone, begun, 1},
+		{"as the answer began, the parts are proven, the target still runs", []string{"proven"}, runs, begun, 2},
+		{"as the answer began, another process runs", []string{"dead"}, replaced, begun, 1},
+		{"nothing of the answer", []string{"dead"}, gone, step{err: closed}, 2},
+		{"after the first event", []string{"dead"}, gone, started, 2},
+		{"later in the answer", []string{"dead"}, gone, underWay, 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				fake := &scriptedTargets{script: []step{answer("id: 1\n\n", "id: 2\n\n"), tt.first, answer("id: 3\n\n")}}
-				if tt.gone {
-					fake.sign = serve.Sign{Reach: serve.Refused}
-				}
+				fake := &scriptedTargets{script: []step{answer("id: 1\n\n", "id: 2\n\n"), tt.first, answer("id: 3\n\n")}, sign: tt.sign}
 				service := serve.New(newState(), fake, discard{}, discard{})
 				defer service.Close()
 				request := serve.Request{ID: "r", Host: "h", Path: "/stream/", Key: "k", Parts: []string{"proven"}}
--- a/gateway/serve/serve_test.go
+++ b/gateway/serve/serve_test.go
@@ -174,7 +174,7 @@
 func newState() dispatch.State {
 	var list []roster.Target
 	for i := range 4 {
-		list = append(list, roster.Target{ID: fmt.Sprintf("t%d", i), Service: "s", Domain: "d", Slots: 4, Revision: uint64(i + 1)})
+		list = append(list, roster.Target{ID: fmt.Sprintf("t%d", i), Service: "s", Domain: "d", Slots: 4, Revision: uint64(i + 1), StartUnixMilli: 7})
 	}
 	return dispatch.New("g", "d", dispatch.Bounds{MaxStaleness: time.Minute}).
 		WithUpdate(dispatch.Update{Books: []route.Book{routes()}, Targets: list, ReadAt: time.Now()}, time.Now())
